--- /dev/null
+++ b/packages/valeweir/src/valeweir/logs.py
@@ -0,0 +1,32 @@
+"""Set-up of the structured log: one line per decision or change of state."""
+
+import json
+import sys
+
+from loguru import logger
+
+
+def _format_json(record):
+    entry = {
+        "time": record["time"].isoformat(timespec="milliseconds"),
+        "level": record["level"].name,
+        "event": record["message"],
+        **record["extra"],
+    }
+    if record["exception"] is not None:
+        entry["error"] = repr(record["exception"].value)
+    return json.dumps(entry, default=str)
+
+
+def _write_json(message):
+    sys.stderr.write(_format_json(message.record) + "\n")
+
+
+def prepare_logs(form="json", level="INFO"):
+    """Send log lines to standard error as ``json`` or ``text``."""
+    logger.remove()
+    if form == "json":
+        logger.add(_write_json, level=level)
+        return
+    line = "{time:HH:mm:ss.SSS} {level: <7} {message} {extra}"
+    logger.add(sys.stderr, level=level, format=line)
--- /dev/null
+++ b/packages/valeweir/src/valeweir/servers.py
@@ -0,0 +1,263 @@
+"""An HTTP server for handlers that take a `Request` and write to a `Reply`.
+
+Thin over cheroot: one thread per connection, written straight down. Adds what
+a router needs: uniform errors with an outcome header, strict lengths, a body
+that must be whole, and a view of whether the client is still there.
+"""
+
+import select
+import socket
+import threading
+from typing import NamedTuple
+from urllib.parse import parse_qs, unquote
+
+import msgspec
+from cheroot import server as cheroot_server
+from loguru import logger
+
+from .models import OUTCOME_HEADER, Outcome
+
+_GROW_BY = 32
+_SPARE_THREADS = 8
+
+
+class Request(NamedTuple):
+    """One HTTP request, its body read whole."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+    target: str
+
+
+class BadBody(Exception):
+    """The body cannot be read whole; the connection has to be closed."""
+
+    def __init__(self, status, text):
+        super().__init__(text)
+        self.status = status
+        self.text = text
+
+
+class Reply:
+    """Where a handler writes its answer."""
+
+    def __init__(self, req):
+        self._req = req
+        self.started = False
+
+    def send(self, status, headers, body):
+        """Send a whole answer with its length."""
+        self._start(status, headers)
+        self._req.outheaders.append((b"Content-Length", str(len(body)).encode()))
+        self._req.ensure_headers_sent()
+        if self._req.method != b"HEAD":
+            self._req.write(body)
+
+    def send_json(self, status, value, headers=(), kind="application/json"):
+        """Send a value as JSON."""
+        body = msgspec.json.encode(value)
+        self.send(status, [("Content-Type", kind), *headers], body)
+
+    def start_stream(self, status, headers):
+        """Send the head of an answer whose length is not known."""
+        self._start(status, headers)
+        self._req.ensure_headers_sent()
+
+    def write(self, part):
+        """Send a part of a stream; raises OSError where the client is gone."""
+        self._req.write(part)
+
+    def cut(self):
+        """End a stream so that the client sees it is not whole."""
+        self._req.chunked_write = False
+        self._req.close_connection = True
+
+    def drop(self):
+        """Close the connection without an answer."""
+        self.started = True
+        self._req.sent_headers = True
+        self.cut()
+
+    def close(self):
+        """Close the connection after this answer."""
+        self._req.close_connection = True
+
+    def is_gone(self):
+        """Return whether the client has closed its side of the connection."""
+        sock = self._req.conn.socket
+        try:
+            ready, _, _ = select.select([sock], [], [], 0)
+            if not ready:
+                return False
+            if not hasattr(sock, "pending"):
+                return sock.recv(1, socket.MSG_PEEK) == b""
+            # TLS sockets cannot be peeked at; writes will tell.
+            return False
+        except (OSError, ValueError):
+            return True
+
+    def _start(self, status, headers):
+        self.started = True
+        self._req.status = _get_status_line(status)
+        for name, value in headers:
+            if name.lower() not in ("content-length", "connection"):
+                pair = (name.encode("latin-1"), value.encode("latin-1", "replace"))
+                self._req.outheaders.append(pair)
+
+
+class _HTTPRequest(cheroot_server.HTTPRequest):
+    """cheroot's parser, with errors in our form."""
+
+    def simple_response(self, status, msg=""):
+        """Answer what the parser refuses: nothing of it has run."""
+        code = str(status)[:3]
+        text = msg or str(status)[4:]
+        body = msgspec.json.encode(
+            {"error": {"code": f"http-{code}", "message": text, "status": int(code)}}
+        )
+        head = (
+            f"HTTP/1.1 {status}\r\nContent-Type: application/json\r\n"
+            f"Content-Length: {len(body)}\r\n"
+            f"{OUTCOME_HEADER}: {Outcome.NOT_RUN.value}\r\nConnection: close\r\n\r\n"
+        )
+        self.close_connection = True
+        self.sent_headers = True
+        self.server.note_refusal(f"http-{code}")
+        try:
+            self.conn.wfile.write(head.encode("latin-1") + body)
+        except OSError:
+            pass
+
+
+class _HTTPConnection(cheroot_server.HTTPConnection):
+    RequestHandlerClass = _HTTPRequest
+
+
+class Server(cheroot_server.HTTPServer):
+    """cheroot's server with a pool of threads that grows when it must."""
+
+    ConnectionClass = _HTTPConnection
+    keep_alive_conn_limit = 10_000
+    request_queue_size = 1024
+    expiration_interval = 0.2
+
+    def __init__(self, bind_addr, gateway, threads, note_refusal):
+        super().__init__(
+            bind_addr, gateway, minthreads=min(16, threads), maxthreads=threads
+        )
+        self.note_refusal = note_refusal
+        self._need_threads = threading.Event()
+
+    def start_threads(self):
+        """Bind, then serve in threads of their own."""
+        self.prepare()
+        for name, run in (("serve", self.serve), ("grow", self._grow)):
+            threading.Thread(target=run, name=name, daemon=True).start()
+
+    def check_threads(self):
+        """Ask for more threads when few are idle."""
+        if self.requests.idle < _SPARE_THREADS:
+            self._need_threads.set()
+
+    def error_log(self, msg="", level=20, traceback=False):
+        """Send cheroot's complaints to our log."""
+        if level >= 40:
+            logger.opt(exception=traceback).error("http server: {}", msg)
+
+    def _grow(self):
+        while self.ready:
+            if self._need_threads.wait(0.5):
+                self._need_threads.clear()
+                self.requests.grow(_GROW_BY)
+
+
+def create_server(
+    address,
+    handle,
+    threads=64,
+    max_body=8 << 20,
+    max_header=32 << 10,
+    timeout=10.0,
+    note_refusal=lambda code: None,
+):
+    """Return a `Server` that calls ``handle(request, reply)`` in its threads.
+
+    Parameters
+    ----------
+    address : str
+        ``IP:PORT``; port 0 takes any free one, see ``server.bind_addr``.
+    note_refusal : callable
+        Told the code of each request that the parser refuses.
+    """
+    host, _, port = address.rpartition(":")
+
+    class _Gateway(cheroot_server.Gateway):
+        def respond(self):
+            self.req.server.check_threads()
+            _respond(self.req, handle)
+
+    server = Server((host.strip("[]"), int(port)), _Gateway, threads, note_refusal)
+    server.max_request_body_size = max_body
+    server.max_request_header_size = max_header
+    server.timeout = timeout
+    server.nodelay = True
+    return server
+
+
+def set_tls(server, certificate, key):
+    """Serve TLS with a certificate and key from files."""
+    from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+    server.ssl_adapter = BuiltinSSLAdapter(certificate, key)
+
+
+def _respond(req, handle):
+    reply = Reply(req)
+    try:
+        request = _read_request(req)
+    except BadBody as exc:
+        req.simple_response(exc.status, exc.text)
+        return
+    handle(request, reply)
+    if not reply.started:
+        reply.send(204, [], b"")
+
+
+def _read_request(req):
+    headers = {
+        name.decode("latin-1"): value.decode("latin-1")
+        for name, value in req.inheaders.items()
+    }
+    if "Transfer-Encoding" in headers and "Content-Length" in headers:
+        # RFC 9112, 6.3: two lengths may be an attempt at request smuggling.
+        raise BadBody("400 Bad Request", "both Content-Length and Transfer-Encoding")
+    path = unquote(req.path.decode("latin-1"))
+    query_text = (req.qs or b"").decode("latin-1")
+    target = req.path.decode("latin-1") + (f"?{query_text}" if query_text else "")
+    query = {k: v[-1] for k, v in parse_qs(query_text).items()}
+    body = _read_body(req, headers)
+    return Request(req.method.decode("latin-1"), path, query, headers, body, target)
+
+
+def _read_body(req, headers):
+    length = int(headers.get("Content-Length", 0))
+    if length == 0 and not req.chunked_read:
+        return b""
+    try:
+        body = req.rfile.read() if req.chunked_read else req.rfile.read(length)
+    except cheroot_server.errors.MaxSizeExceeded:
+        raise BadBody("413 Request Entity Too Large", "the body is too large") from None
+    except (OSError, ValueError) as exc:
+        raise BadBody("400 Bad Request", f"the body stopped: {exc}") from exc
+    if not req.chunked_read and len(body) != length:
+        raise BadBody("400 Bad Request", "the body stopped before its length")
+    return body
+
+
+def _get_status_line(status):
+    from http.client import responses
+
+    return f"{status} {responses.get(status, 'Status')}".encode("latin-1")
--- /dev/null
+++ b/packages/valeweir/src/valeweir/settings.py
@@ -0,0 +1,290 @@
+"""Settings of one daemon: JSON with comments, checked whole before use."""
+
+import copy
+import os
+import re
+from typing import Annotated, Literal, NamedTuple, NotRequired, TypedDict
+
+import json5
+import jsonschema
+import msgspec
+
+from .exceptions import SettingsError
+
+Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:\d{1,5}$")]
+Url = Annotated[str, msgspec.Meta(pattern=r"^https?://[^\s]+$")]
+Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+
+
+class CallersSettings(TypedDict, total=False):
+    """The port for callers and its limits. Sizes in bytes, times in seconds."""
+
+    address: Address
+    threads: Count
+    max_body: Count
+    max_header: Count
+    header_timeout: Seconds
+    default_deadline: Seconds
+    max_waiting: Count
+    max_waiting_body: Count
+    certificate: str
+    key: str
+
+
+class AdminSettings(TypedDict, total=False):
+    """The port for operators, metrics and health.
+
+    ``operator_key_sha256`` is the hash of the first administrator's key; it
+    may also come from ``VALEWEIR_OPERATOR_KEY_SHA256``.
+    """
+
+    address: Address
+    operator_key_sha256: str
+    certificate: str
+    key: str
+
+
+class Seed(TypedDict):
+    """A router to greet before the membership list is known."""
+
+    host: Name
+    domain: Name
+    address: Address
+
+
+class FleetSettings(TypedDict, total=False):
+    """Traffic between routers. Times in seconds, rates in bytes a second.
+
+    ``public_key`` and ``secret_key`` are CURVE keys (Z85); the fleet's
+    ``allowed_keys`` are the public keys of daemons that may connect.
+    """
+
+    address: Address
+    seeds: list[Seed]
+    interval: Seconds
+    lease: Seconds
+    byte_budget: Count
+    mesh_limit: Count
+    public_key: str
+    secret_key: str
+    allowed_keys: list[str]
+
+
+class PlatformSettings(TypedDict, total=False):
+    """Where the platform's services are."""
+
+    log: Url
+    membership: Url
+    poll: Seconds
+    timeout: Seconds
+
+
+class SharingSettings(TypedDict, total=False):
+    """How capacity is shared; ``slack`` and bonuses in mean requests."""
+
+    mode: Literal["leases", "static"]
+    slack: Annotated[float, msgspec.Meta(ge=0)]
+    class_bonus: Annotated[float, msgspec.Meta(ge=0)]
+    aging: Seconds
+    clamp: Annotated[float, msgspec.Meta(gt=0)]
+    prompt_weight: Annotated[float, msgspec.Meta(ge=0)]
+    output_weight: Annotated[float, msgspec.Meta(ge=0)]
+    float_slots: Annotated[int, msgspec.Meta(ge=0)]
+
+
+class StopSettings(TypedDict, total=False):
+    """A planned stop: wait for the balancer, then for requests in flight."""
+
+    balancer_wait: Annotated[float, msgspec.Meta(ge=0)]
+    limit: Seconds
+
+
+class LogSettings(TypedDict, total=False):
+    """The daemon's log lines."""
+
+    form: Literal["json", "text"]
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+
+
+class Settings(TypedDict):
+    """One daemon's settings file."""
+
+    host: Name
+    domain: Name
+    callers: CallersSettings
+    admin: AdminSettings
+    fleet: FleetSettings
+    platform: PlatformSettings
+    sharing: NotRequired[SharingSettings]
+    stop: NotRequired[StopSettings]
+    log: NotRequired[LogSettings]
+
+
+class Fault(NamedTuple):
+    """One thing wrong in a settings file; ``line`` is 0 where unknown."""
+
+    path: str
+    line: int
+    text: str
+
+    def __str__(self):
+        """Show the fault the way compilers do."""
+        place = f"line {self.line}, " if self.line else ""
+        return f"{place}{self.path}: {self.text}"
+
+
+DEFAULTS = {
+    "callers": {
+        "threads": 2100,
+        "max_body": 8 << 20,
+        "max_header": 32 << 10,
+        "header_timeout": 10.0,
+        "default_deadline": 600.0,
+        "max_waiting": 2000,
+        "max_waiting_body": 64 << 20,
+    },
+    "admin": {},
+    "fleet": {
+        "seeds": [],
+        "interval": 0.5,
+        "lease": 4.0,
+        "byte_budget": 5000,
+        "mesh_limit": 16,
+    },
+    "platform": {"poll": 1.0, "timeout": 3.0},
+    "sharing": {
+        "mode": "leases",
+        "slack": 1.0,
+        "class_bonus": 2.0,
+        "aging": 20.0,
+        "clamp": 40.0,
+        "prompt_weight": 0.25,
+        "output_weight": 1.0,
+        "float_slots": 1,
+    },
+    "stop": {"balancer_wait": 2.0, "limit": 120.0},
+    "log": {"form": "json", "level": "INFO"},
+}
+
+_REQUIRED = {
+    "callers": ["address"],
+    "admin": ["address"],
+    "fleet": ["address"],
+    "platform": ["log", "membership"],
+}
+
+_SECRETS = {
+    "VALEWEIR_OPERATOR_KEY_SHA256": ("admin", "operator_key_sha256"),
+    "VALEWEIR_FLEET_SECRET_KEY": ("fleet", "secret_key"),
+}
+
+
+def load_settings(path, environ=os.environ):
+    """Read, check and complete a settings file.
+
+    Raises
+    ------
+    SettingsError
+        With every fault, each named by path and line.
+    """
+    text = _read(path)
+    try:
+        data = json5.loads(text)
+    except ValueError as exc:
+        raise SettingsError(path, [_get_syntax_fault(exc)]) from exc
+    faults = get_faults(data, text)
+    if faults:
+        raise SettingsError(path, faults)
+    return prepare_settings(data, environ)
+
+
+def get_faults(data, text=""):
+    """Return every `Fault` of decoded settings ``data``."""
+    checker = jsonschema.Draft202012Validator(get_schema())
+    errors = sorted(checker.iter_errors(data), key=lambda e: list(map(str, e.path)))
+    faults = [_get_fault(error, text) for error in errors]
+    if not faults:
+        faults = _get_cross_faults(data, text)
+    return faults
+
+
+def prepare_settings(data, environ=os.environ):
+    """Fill defaults and secrets from the environment into checked ``data``."""
+    cfg = copy.deepcopy(DEFAULTS)
+    for name, value in data.items():
+        if isinstance(value, dict):
+            cfg[name].update(value)
+        else:
+            cfg[name] = value
+    for variable, (section, key) in _SECRETS.items():
+        if variable in environ:
+            cfg[section][key] = environ[variable]
+    return cfg
+
+
+def get_schema():
+    """Return the JSON schema of a settings file; unknown keys are refused."""
+    schema = msgspec.json.schema(Settings)
+    for name, definition in schema["$defs"].items():
+        if definition.get("type") != "object":
+            continue
+        definition["additionalProperties"] = False
+        section = name.removesuffix("Settings").lower()
+        if section in _REQUIRED:
+            definition["required"] = _REQUIRED[section]
+    return schema
+
+
+def _read(path):
+    try:
+        with open(path, encoding="utf-8") as file:
+            return file.read()
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(path, [Fault("$", 0, str(exc))]) from exc
+
+
+def _get_syntax_fault(exc):
+    found = re.search(r":(\d+)", str(exc))
+    return Fault("$", int(found.group(1)) if found else 0, str(exc))
+
+
+def _get_fault(error, text):
+    path = list(error.path)
+    named = re.search(r"'([^']+)' (?:was|were) unexpected", error.message)
+    if named:
+        path.append(named.group(1))
+    shown = "$" + "".join(f"[{p}]" if isinstance(p, int) else f".{p}" for p in path)
+    return Fault(shown, _find_line(path, text), error.message)
+
+
+def _find_line(path, text):
+    """Find the line of a key by following the names of its path in order."""
+    position = 0
+    found = False
+    for part in path:
+        if isinstance(part, int):
+            continue
+        match = re.compile(rf"[\"']?\b{re.escape(part)}\b[\"']?\s*:").search(
+            text, position
+        )
+        if match:
+            position = match.start()
+            found = True
+    return text.count("\n", 0, position) + 1 if found else 0
+
+
+def _get_cross_faults(data, text):
+    faults = []
+    fleet = {**DEFAULTS["fleet"], **data["fleet"]}
+    if fleet["lease"] < 4 * fleet["interval"]:
+        path = ["fleet", "lease"]
+        message = "a lease must last at least four intervals"
+        faults.append(Fault("$.fleet.lease", _find_line(path, text), message))
+    for section in ("callers", "admin"):
+        part = data[section]
+        if ("certificate" in part) != ("key" in part):
+            message = "certificate and key go together"
+            faults.append(Fault(f"$.{section}", _find_line([section], text), message))
+    return faults
--- /dev/null
+++ b/packages/valeweir_cli/src/valeweir_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line ``valeweir``."""
--- /dev/null
+++ b/packages/valeweir_cli/src/valeweir_cli/bench.py
@@ -0,0 +1,135 @@
+"""``valeweir bench`` and ``valeweir demo``: experiments on a local fleet."""
+
+import json
+
+import click
+from tqdm import tqdm
+from valeweir_standins.deployments import get_deployment
+from valeweir_standins.experiments import Setup, run_experiment
+from valeweir_standins.scenarios import SCENARIOS
+
+_BREACH = 1
+
+
+@click.group()
+def bench():
+    """Measure a fleet of real daemons with stand-ins and seeded load."""
+
+
+@bench.command("list")
+def list_scenarios():
+    """List the scenarios."""
+    for scenario in SCENARIOS.values():
+        click.echo(f"{scenario.name:20} {scenario.text}")
+
+
+@bench.command()
+@click.argument("scenario", type=click.Choice(sorted(SCENARIOS)))
+@click.option("--deployment", type=click.Choice(["hooghly", "kat"]), default="hooghly")
+@click.option(
+    "--sharing",
+    type=click.Choice(["leases", "static", "oracle", "all"]),
+    default="leases",
+    help="How slots are shared; 'all' runs the three one after the other.",
+)
+@click.option("--seconds", default=20.0, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--routers", default=9, show_default=True)
+@click.option("--upstreams", default=5, show_default=True, help="Model engines.")
+@click.option("--accounts", default=16, show_default=True)
+@click.option("--set", "sets", multiple=True, help="SECTION.KEY=JSON, a setting.")
+@click.option("--json", "json_path", type=click.Path(dir_okay=False))
+@click.option("--plot", "plot_path", type=click.Path(dir_okay=False))
+def run(
+    scenario,
+    deployment,
+    sharing,
+    seconds,
+    seed,
+    routers,
+    upstreams,
+    accounts,
+    sets,
+    json_path,
+    plot_path,
+):
+    """Run SCENARIO and print its figures."""
+    place = get_deployment(deployment, routers, upstreams, accounts)
+    modes = ["static", "leases", "oracle"] if sharing == "all" else [sharing]
+    results = []
+    for mode in modes:
+        setup = Setup(scenario, place, mode, seconds, seed, _parse_sets(sets))
+        results.append(_run_with_bar(setup))
+        _print_result(results[-1])
+    _write(results, json_path, plot_path)
+    if any(any(r["promises"].values()) for r in results):
+        raise SystemExit(_BREACH)
+
+
+@click.command()
+@click.option("--seconds", default=30.0, show_default=True)
+@click.option("--deployment", type=click.Choice(["hooghly", "kat"]), default="hooghly")
+def demo(seconds, deployment):
+    """Run a whole fleet for half a minute and show how it shares."""
+    place = get_deployment(deployment)
+    click.echo(
+        f"{len(place.routers)} routers, {len(place.upstreams)} upstreams and "
+        f"{len(place.accounts)} client accounts on this machine"
+    )
+    result = _run_with_bar(Setup("mixed", place, "leases", seconds, 1, {}))
+    _print_table(result, place)
+    _print_result(result)
+
+
+def _run_with_bar(setup):
+    with tqdm(total=100, unit="%", leave=False, disable=None, desc=setup.sharing) as bar:
+
+        def on_progress(done):
+            bar.update(min(100, int(done * 100)) - bar.n)
+
+        return run_experiment(setup, on_progress)
+
+
+def _parse_sets(sets):
+    overrides = {}
+    for item in sets:
+        path, _, text = item.partition("=")
+        section, _, key = path.partition(".")
+        try:
+            overrides.setdefault(section, {})[key] = json.loads(text)
+        except json.JSONDecodeError as exc:
+            raise click.BadParameter(f"{item}: {exc}") from exc
+    return overrides
+
+
+def _print_table(result, place):
+    click.echo(f"{'client account':18}{'weight':>7}{'service per share':>19}")
+    weights = {a.name: a.weight for a in place.accounts}
+    for name, service in result["service_per_share"].items():
+        click.echo(f"{name:18}{weights[name]:7g}{service:19.1f}")
+
+
+def _print_result(result):
+    click.echo(
+        f"{result['scenario']}/{result['deployment']}/{result['sharing']}: "
+        f"gap {result['fairness_gap_mean_requests']} mean requests "
+        f"(mean spread {result['fairness_gap_mean_over_time']}), "
+        f"utilisation {result['utilisation_while_waiting']}, "
+        f"control {result['control_bytes_per_second_per_router']} B/s and "
+        f"{result['control_cpu_share']:.2%} of a core a router, "
+        f"{result['messages_per_request']} messages a request, "
+        f"{result['requests_per_second']} requests/s"
+    )
+    click.echo(f"  outcomes {result['outcomes']}")
+    click.echo(f"  promises broken {result['promises']}")
+
+
+def _write(results, json_path, plot_path):
+    if json_path:
+        data = results[0] if len(results) == 1 else results
+        with open(json_path, "w", encoding="utf-8") as file:
+            json.dump(data, file, indent=1)
+    if plot_path:
+        from .plots import draw_curves
+
+        draw_curves(results, plot_path)
--- /dev/null
+++ b/packages/valeweir_cli/src/valeweir_cli/main.py
@@ -0,0 +1,45 @@
+"""The command line of operators and developers."""
+
+import sys
+
+import click
+from valeweir import __version__
+from valeweir.exceptions import SettingsError
+from valeweir.settings import load_settings
+
+from .bench import bench, demo
+from .standins import standin
+
+_BAD_SETTINGS = 2
+
+
+@click.group()
+@click.version_option(__version__, prog_name="valeweir")
+def main():
+    """Operate and try out a valeweir fleet."""
+
+
+@main.command()
+@click.argument("files", nargs=-1, required=True, type=click.Path(dir_okay=False))
+def check(files):
+    """Check settings FILES; every fault is named by path and line."""
+    bad = False
+    for path in files:
+        try:
+            load_settings(path)
+        except SettingsError as exc:
+            bad = True
+            for fault in exc.faults:
+                click.echo(f"{path}: {fault}")
+        else:
+            click.echo(f"{path}: ok")
+    if bad:
+        sys.exit(_BAD_SETTINGS)
+
+
+main.add_command(bench)
+main.add_command(demo)
+main.add_command(standin)
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/valeweir_cli/src/valeweir_cli/plots.py
@@ -0,0 +1,23 @@
+"""Plots of experiments."""
+
+import matplotlib
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402  (the backend has to be set first)
+
+
+def draw_curves(results, path):
+    """Draw service per share over time, by account, one panel a run."""
+    fig, axes = pyplot.subplots(
+        1, len(results), figsize=(6 * len(results), 4), sharey=True, squeeze=False
+    )
+    for axis, result in zip(axes[0], results, strict=True):
+        for account, curve in result["curve"].items():
+            axis.plot(curve, label=account, linewidth=1)
+        gap = result["fairness_gap_mean_requests"]
+        axis.set_title(f"{result['sharing']}: gap {gap}")
+        axis.set_xlabel("seconds")
+    axes[0][0].set_ylabel("service per share (cost)")
+    axes[0][-1].legend(fontsize=6)
+    fig.tight_layout()
+    fig.savefig(path)
--- /dev/null
+++ b/packages/valeweir_fleet/src/valeweir_fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Peer: the other routers, over ZeroMQ with typed msgspec messages."""
--- /dev/null
+++ b/packages/valeweir_fleet/src/valeweir_fleet/messages.py
@@ -0,0 +1,128 @@
+"""Messages between routers: compact arrays in MessagePack, with a version.
+
+msgspec structs rather than named tuples, since a tagged union is told apart
+and checked in one decoding step.
+"""
+
+import msgspec
+from valeweir_sharing.leases import Claim, Grant
+
+VERSION = 1
+MAX_BYTES = 1 << 20
+
+
+class Message(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """What every message starts with.
+
+    ``source`` is the sender's incarnation, ``HOST#NUMBER``; ``seq`` grows with
+    every message that the incarnation sends.
+    """
+
+    version: int = VERSION
+    source: str
+    seq: int
+
+
+class Identity(msgspec.Struct, frozen=True, array_like=True):
+    """Where a router is; sent with the first digests and now and then."""
+
+    domain: str
+    address: str
+
+
+class PoolReport(msgspec.Struct, frozen=True, array_like=True):
+    """Service figures of one pool; costs per weight, rounded to integers.
+
+    ``accounts`` maps a client account to ``(settled, inflight, lift,
+    waiting)``.
+    """
+
+    pool: str
+    front: int
+    accounts: dict[str, tuple[int, int, int, int]]
+
+
+class Digest(Message, tag="D"):
+    """Heartbeat, service report, claims and grants, once an interval.
+
+    ``echo`` is the last ``sent_at`` that came from the receiver: it extends
+    the leases that the receiver holds of the sender and shows that the way
+    there works too. ``whole`` says that ``pools`` omits nothing.
+    """
+
+    sent_at: float
+    echo: float
+    leaving: bool
+    config_offset: int
+    identity: Identity | None
+    whole: bool
+    pools: list[PoolReport]
+    claims: list[Claim]
+    grants: list[Grant]
+
+
+class Ask(Message, tag="A"):
+    """A holder hands back slots, or asks for some, between digests.
+
+    ``waiting`` maps each account that waits in ``pool`` to its requests.
+    """
+
+    sent_at: float
+    pool: str
+    waiting: dict[str, int]
+    claims: list[Claim]
+
+
+class Offer(Message, tag="O"):
+    """An owner grants slots between digests, or recalls idle ones."""
+
+    echo: float
+    grants: list[Grant]
+    recall: list[str]
+
+
+class ViewQuery(Message, tag="Q"):
+    """A router behind ``config_offset`` asks for the configuration."""
+
+    offset: int
+
+
+class ViewAnswer(Message, tag="V"):
+    """The sender's whole configuration, as a `valeweir.configuration.View`."""
+
+    view: bytes
+
+
+class HistoryQuery(Message, tag="H"):
+    """A router that started empty asks for the service of past incarnations."""
+
+
+class History(Message, tag="P"):
+    """Settled service of retired incarnations: {pool: {account: cost}}."""
+
+    base: dict[str, dict[str, float]]
+    retired: list[str]
+
+
+AnyMessage = Digest | Ask | Offer | ViewQuery | ViewAnswer | HistoryQuery | History
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(AnyMessage)
+
+
+def encode_message(message):
+    """Return the bytes of a message."""
+    return _encoder.encode(message)
+
+
+def decode_message(data):
+    """Return ``(message, None)`` or ``(None, why)`` for bytes off the wire."""
+    if len(data) > MAX_BYTES:
+        return None, "oversized"
+    try:
+        message = _decoder.decode(data)
+    except (msgspec.DecodeError, RecursionError, ValueError):
+        return None, "malformed"
+    if message.version != VERSION:
+        return None, "version"
+    return message, None
--- /dev/null
+++ b/packages/valeweir_fleet/src/valeweir_fleet/peers.py
@@ -0,0 +1,139 @@
+"""Which other routers are there, and which of them are heard from."""
+
+from typing import NamedTuple
+
+
+class Peer:
+    """One incarnation of another router.
+
+    ``sent_at`` is the latest time of the peer's own clock that it sent;
+    ``echo`` the latest of ours that it answered; ``heard`` when it came.
+    """
+
+    __slots__ = (
+        "address",
+        "config_offset",
+        "domain",
+        "echo",
+        "heard",
+        "host",
+        "leaving",
+        "live",
+        "sent_at",
+        "seq",
+        "source",
+    )
+
+    def __init__(self, source, host):
+        self.source = source
+        self.host = host
+        self.domain = ""
+        self.address = ""
+        self.seq = -1
+        self.sent_at = 0.0
+        self.echo = 0.0
+        self.heard = 0.0
+        self.live = False
+        self.leaving = False
+        self.config_offset = 0
+
+
+class Member(NamedTuple):
+    """A host of the system as the settings or the membership list name it."""
+
+    host: str
+    domain: str
+    address: str
+    leaving: bool = False
+
+
+class Change(NamedTuple):
+    """A peer that came or went."""
+
+    peer: Peer
+    live: bool
+
+
+class Peers:
+    """All routers known, by incarnation.
+
+    A peer is live while it is heard from and its echo shows that it hears us:
+    after a cut in one direction both sides count each other as gone.
+    """
+
+    def __init__(self, patience):
+        self.patience = patience
+        self.by_source = {}
+        self.by_host = {}
+        self.members = {}
+        self.replaced = []
+
+    def note(self, message, now):
+        """Take note of a message; return its `Peer`, or None for a replay."""
+        host = get_host(message.source)
+        peer = self.by_source.get(message.source)
+        if peer is None:
+            current = self.by_host.get(host)
+            if current and _number(current.source) > _number(message.source):
+                return None
+            if current:
+                self._replace(current)
+            peer = Peer(message.source, host)
+            self.by_source[message.source] = peer
+            self.by_host[host] = peer
+            member = self.members.get(host)
+            if member:
+                peer.domain, peer.address = member.domain, member.address
+        if message.seq <= peer.seq:
+            return None
+        peer.seq = message.seq
+        peer.heard = now
+        return peer
+
+    def set_members(self, members):
+        """Replace the list of hosts that the platform names."""
+        self.members = {member.host: member for member in members}
+
+    def get_changes(self, now):
+        """Recompute who is live; return a `Change` for each that differs."""
+        changes = []
+        for peer in self.by_host.values():
+            oldest = now - self.patience
+            live = peer.heard > oldest and peer.echo > oldest and bool(peer.address)
+            if live != peer.live:
+                peer.live = live
+                changes.append(Change(peer, live))
+        return changes
+
+    def get_live(self):
+        """Return the live peers."""
+        return [peer for peer in self.by_host.values() if peer.live]
+
+    def is_leaving(self, peer):
+        """Return whether the peer itself or the membership list says so."""
+        member = self.members.get(peer.host)
+        return peer.leaving or (member is not None and member.leaving)
+
+    def get_targets(self, own_host):
+        """Return {host: address} of every router worth greeting."""
+        targets = {m.host: m.address for m in self.members.values()}
+        for peer in self.by_host.values():
+            if peer.address and (peer.live or peer.host in self.members):
+                targets[peer.host] = peer.address
+        targets.pop(own_host, None)
+        return targets
+
+    def _replace(self, peer):
+        del self.by_source[peer.source]
+        self.replaced.append(peer)
+
+
+def get_host(source):
+    """Return the host of an incarnation's name."""
+    return source.partition("#")[0]
+
+
+def _number(source):
+    """Return the incarnation's number; a later start has a higher one."""
+    number = source.partition("#")[2]
+    return int(number, 36) if number.isalnum() else 0
--- /dev/null
+++ b/packages/valeweir_operators/src/valeweir_operators/__init__.py
@@ -0,0 +1,1 @@
+"""Peer: operators, over the resource API."""
--- /dev/null
+++ b/packages/valeweir_operators/src/valeweir_operators/access.py
@@ -0,0 +1,58 @@
+"""Who an operator is and what it may see and change."""
+
+import hashlib
+import hmac
+from typing import NamedTuple
+
+_ROLES = ("viewer", "operator", "admin")
+ROOT = "root"
+
+
+class Operator(NamedTuple):
+    """An authenticated operator; ``partner`` is `ROOT` for the first key."""
+
+    partner: str
+    role: str
+    name: str
+
+
+def find_operator(headers, configuration, root_hash):
+    """Return the `Operator` whose key the request bears, or None."""
+    scheme, _, key = headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        return None
+    digest = hashlib.sha256(key.strip().encode()).hexdigest()
+    if root_hash and hmac.compare_digest(digest, root_hash):
+        return Operator(ROOT, "admin", ROOT)
+    for res in configuration.resources["partners"].values():
+        for entry in res.spec["keys"]:
+            if hmac.compare_digest(entry["sha256"], digest):
+                name = entry.get("name", digest[:8])
+                return Operator(res.name, entry["role"], name)
+    return None
+
+
+def get_partner(configuration, kind, name, spec):
+    """Return the partner that a resource belongs to, or None where unknown."""
+    if kind == "partners":
+        return name
+    if spec is None:
+        return None
+    if "partner" in spec:
+        return spec["partner"]
+    owner = {"shares": ("client-accounts", "account")}.get(
+        kind, ("upstreams", "upstream")
+    )
+    res = configuration.get(owner[0], spec.get(owner[1], ""))
+    return res.spec["partner"] if res else None
+
+
+def may_see(operator, partner):
+    """Return whether the operator may see a resource of ``partner``."""
+    return operator.partner == ROOT or operator.partner == partner
+
+
+def may_write(operator, kind):
+    """Return whether the operator's role allows changes of ``kind``."""
+    needed = "admin" if kind == "partners" else "operator"
+    return _ROLES.index(operator.role) >= _ROLES.index(needed)
--- /dev/null
+++ b/packages/valeweir_operators/src/valeweir_operators/api.py
@@ -0,0 +1,323 @@
+"""The resource API: list, get, put, patch, delete and watch.
+
+A write is accepted once it stands on the platform's log and has been folded.
+"""
+
+import secrets
+import time
+from typing import NamedTuple
+
+import msgspec
+from valeweir import __version__
+from valeweir.exceptions import PlatformUnavailable
+from valeweir.resources import KINDS, Change, check_spec
+from valeweir.settings import Name
+
+from .access import find_operator, get_partner, may_see, may_write
+from .documents import get_depth, make_document, make_openapi, merge_patch
+from .problems import Problem, send_problem
+
+_MAX_DEPTH = 16
+_MAX_DOCUMENT = 256 << 10
+_PAGE = 500
+_SETTLE_SECONDS = 10.0
+_WATCH_STEP = 0.25
+_WATCH_SECONDS = 300.0
+_BOOKMARK_SECONDS = 5.0
+
+
+class Api(NamedTuple):
+    """What the API needs from its daemon.
+
+    ``submit(change, timeout)`` appends a change and returns its verdict;
+    ``get_status(resource)`` returns the status part of a document;
+    ``get_fleet()`` the daemon's view of the fleet.
+    """
+
+    configuration: object
+    lock: object
+    submit: object
+    get_status: object
+    get_fleet: object
+    root_hash: str
+
+
+class Target(NamedTuple):
+    """What a request is about."""
+
+    kind: str
+    name: str
+
+
+def handle(api, request, reply):
+    """Serve one operator's request."""
+    if request.path == "/v1/openapi.json":
+        reply.send_json(200, make_openapi(__version__))
+        return
+    with api.lock:
+        operator = find_operator(request.headers, api.configuration, api.root_hash)
+    if operator is None:
+        problem = Problem(401, "unknown-key", "send Authorization: Bearer KEY")
+        send_problem(reply, problem)
+        return
+    if request.path == "/v1/fleet" and request.method == "GET":
+        reply.send_json(200, api.get_fleet())
+        return
+    target = _parse_target(request.path)
+    if isinstance(target, Problem):
+        send_problem(reply, target)
+        return
+    problem = _serve(api, operator, target, request, reply)
+    if problem is not None:
+        send_problem(reply, problem)
+
+
+def _serve(api, operator, target, request, reply):
+    if request.method == "GET" and target.name:
+        return _get(api, operator, target, reply)
+    if request.method == "GET" and request.query.get("watch"):
+        return _watch(api, operator, target, request, reply)
+    if request.method == "GET":
+        return _list(api, operator, target, request, reply)
+    if request.method in ("PUT", "PATCH", "DELETE") and target.name:
+        return _write(api, operator, target, request, reply)
+    return Problem(405, "bad-method", f"{request.method} is not served here")
+
+
+def _parse_target(path):
+    parts = path.strip("/").split("/")
+    if len(parts) not in (2, 3) or parts[0] != "v1" or parts[1] not in KINDS:
+        return Problem(404, "unknown-path", f"nothing is at {path}")
+    name = parts[2] if len(parts) == 3 else ""
+    if name:
+        try:
+            msgspec.convert(name, Name)
+        except msgspec.ValidationError as exc:
+            return Problem(400, "bad-name", str(exc))
+    return Target(parts[1], name)
+
+
+# -- reading -----------------------------------------------------------------
+
+
+def _find(api, operator, target):
+    """Return the resource if it is there and may be seen."""
+    res = api.configuration.get(target.kind, target.name)
+    if res is None or not _is_visible(api, operator, res):
+        return None
+    return res
+
+
+def _is_visible(api, operator, res):
+    partner = get_partner(api.configuration, res.kind, res.name, res.spec)
+    return may_see(operator, partner)
+
+
+def _get(api, operator, target, reply):
+    with api.lock:
+        res = _find(api, operator, target)
+        document = make_document(res, api.get_status(res)) if res else None
+    if document is None:
+        return Problem(404, "not-found", f"no {target.kind} {target.name}")
+    reply.send_json(200, document, [("ETag", f'"{res.version}"')])
+    return None
+
+
+def _list(api, operator, target, request, reply):
+    after = request.query.get("after", "")
+    limit = request.query.get("limit", str(_PAGE))
+    if not limit.isdigit() or not 0 < int(limit) <= _PAGE:
+        return Problem(400, "bad-limit", f"limit is a number from 1 to {_PAGE}")
+    with api.lock:
+        names = sorted(api.configuration.resources[target.kind])
+        found = [api.configuration.get(target.kind, n) for n in names if n > after]
+        found = [r for r in found if _is_visible(api, operator, r)]
+        page = found[: int(limit)]
+        items = [make_document(r, api.get_status(r)) for r in page]
+        version = api.configuration.offset
+    more = page[-1].name if len(found) > len(page) else None
+    reply.send_json(200, {"version": version, "items": items, "next": more})
+    return None
+
+
+def _watch(api, operator, target, request, reply):
+    """Stream changes after a version, one JSON object a line."""
+    since = request.query.get("from", "")
+    with api.lock:
+        offset = api.configuration.offset
+    if since and (not since.isdigit() or int(since) > offset):
+        return Problem(410, "too-old", "list again and watch from its version")
+    seen = int(since) if since else offset
+    with api.lock:
+        known = {
+            r.name: r.version
+            for r in api.configuration.resources[target.kind].values()
+            if r.version < seen and _is_visible(api, operator, r)
+        }
+    reply.start_stream(200, [("Content-Type", "application/x-ndjson")])
+    deadline = time.monotonic() + _WATCH_SECONDS
+    bookmark = 0.0
+    while time.monotonic() < deadline and not reply.is_gone():
+        events, offset = _get_events(api, operator, target.kind, known)
+        if not events and time.monotonic() >= bookmark:
+            events = [{"type": "bookmark", "version": offset}]
+        if events:
+            bookmark = time.monotonic() + _BOOKMARK_SECONDS
+            lines = b"".join(msgspec.json.encode(e) + b"\n" for e in events)
+            try:
+                reply.write(lines)
+            except OSError:
+                return None
+        time.sleep(_WATCH_STEP)
+    return None
+
+
+def _get_events(api, operator, kind, known):
+    """Return what changed against ``known`` versions, which are brought up."""
+    events = []
+    with api.lock:
+        offset = api.configuration.offset
+        now = {
+            name: res
+            for name, res in api.configuration.resources[kind].items()
+            if _is_visible(api, operator, res)
+        }
+        for name, res in now.items():
+            if known.get(name) != res.version:
+                document = make_document(res, api.get_status(res))
+                events.append({"type": "changed", "version": offset, **document})
+                known[name] = res.version
+        for name in [n for n in known if n not in now]:
+            events.append(
+                {"type": "deleted", "kind": kind, "name": name, "version": offset}
+            )
+            del known[name]
+    return events, offset
+
+
+# -- writing -----------------------------------------------------------------
+
+
+def _write(api, operator, target, request, reply):
+    if not may_write(operator, target.kind):
+        return Problem(403, "role", f"a {operator.role} may not change {target.kind}")
+    change = _prepare_change(api, operator, target, request)
+    if isinstance(change, Problem):
+        return change
+    if request.query.get("dry-run"):
+        reply.send_json(200, {"dry_run": True, "spec": change.spec})
+        return None
+    try:
+        verdict = api.submit(change, _SETTLE_SECONDS)
+    except PlatformUnavailable as exc:
+        text = f"not accepted, nothing changed: {exc}"
+        return Problem(503, "log-unavailable", text, change_id=change.id)
+    if verdict is None:
+        text = "the change may yet take effect; watch for its id or repeat it"
+        return Problem(504, "unknown", text, change_id=change.id)
+    if not verdict.accepted:
+        return Problem(409, verdict.why, "another change came first", verdict.version)
+    return _answer_write(api, target, change, verdict, reply)
+
+
+def _answer_write(api, target, change, verdict, reply):
+    if change.spec is None:
+        reply.send_json(200, {"deleted": target.name, "version": verdict.version})
+        return None
+    with api.lock:
+        res = api.configuration.get(target.kind, target.name)
+        document = make_document(res, api.get_status(res)) if res else {}
+    headers = [("ETag", f'"{verdict.version}"')]
+    reply.send_json(201 if change.base == 0 else 200, document, headers)
+    return None
+
+
+def _prepare_change(api, operator, target, request):
+    """Return the `Change` to append, or a `Problem`."""
+    with api.lock:
+        now = api.configuration.get(target.kind, target.name)
+        visible = _find(api, operator, target)
+        if now is not None and visible is None:
+            return Problem(404, "not-found", f"no {target.kind} {target.name}")
+        if now is None and request.method != "PUT":
+            return Problem(404, "not-found", f"no {target.kind} {target.name}")
+        base = _get_base(request, now)
+        if isinstance(base, Problem):
+            return base
+        spec = _get_spec(request, now)
+        problem = spec if isinstance(spec, Problem) else None
+        if problem is None and spec is not None:
+            problem = _check(api, operator, target, spec)
+        if problem is None and spec is None:
+            problem = _check_deletable(api, target)
+    if problem is not None:
+        return problem
+    return Change(
+        id=request.headers.get("X-Change-Id") or secrets.token_hex(8),
+        kind=target.kind,
+        name=target.name,
+        base=base,
+        spec=spec,
+        author=f"{operator.partner}/{operator.name}",
+        at=round(time.time(), 3),
+    )
+
+
+def _get_base(request, now):
+    version = now.version if now else 0
+    wanted = request.headers.get("If-Match")
+    if wanted is None:
+        return version
+    text = wanted.strip('"')
+    if not text.isdigit():
+        return Problem(400, "bad-etag", "If-Match holds a version in quotes")
+    if int(text) != version:
+        return Problem(409, "conflict", "another change came first", version)
+    return version
+
+
+def _get_spec(request, now):
+    if request.method == "DELETE":
+        return None
+    if len(request.body) > _MAX_DOCUMENT:
+        return Problem(413, "too-large", f"at most {_MAX_DOCUMENT} bytes")
+    try:
+        body = msgspec.json.decode(request.body, type=dict)
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        return Problem(400, "bad-json", str(exc))
+    if get_depth(body) > _MAX_DEPTH:
+        return Problem(400, "too-deep", f"at most {_MAX_DEPTH} levels")
+    unknown = sorted(set(body) - {"spec", "kind", "name", "version", "status"})
+    if unknown or not isinstance(body.get("spec"), dict):
+        named = f"$.{unknown[0]} is not known" if unknown else "$.spec is missing"
+        return Problem(400, "bad-document", named)
+    if request.method == "PATCH":
+        return merge_patch(now.spec, body["spec"])
+    return body["spec"]
+
+
+def _check(api, operator, target, spec):
+    fault = check_spec(target.kind, spec)
+    if fault is not None:
+        return Problem(400, "bad-spec", f"$.spec: {fault}")
+    partner = get_partner(api.configuration, target.kind, target.name, spec)
+    if partner is None or not may_see(operator, partner):
+        return Problem(404, "not-found", "the spec refers to what is not there")
+    if target.kind != "partners" and api.configuration.get("partners", partner) is None:
+        return Problem(404, "not-found", f"no partners {partner}")
+    return None
+
+
+def _check_deletable(api, target):
+    """Refuse to delete what other resources refer to."""
+    users = {
+        "partners": ("client-accounts", "partner"),
+        "client-accounts": ("shares", "account"),
+        "upstreams": ("planned-changes", "upstream"),
+    }.get(target.kind)
+    if users is None:
+        return None
+    for res in api.configuration.resources[users[0]].values():
+        if res.spec.get(users[1]) == target.name:
+            return Problem(409, "in-use", f"{users[0]} {res.name} refers to it")
+    return None
--- /dev/null
+++ b/packages/valeweir_operators/src/valeweir_operators/problems.py
@@ -0,0 +1,28 @@
+"""Errors of the resource API, as RFC 9457 problem details."""
+
+from typing import NamedTuple
+
+
+class Problem(NamedTuple):
+    """Why an operator's request was refused."""
+
+    status: int
+    code: str
+    detail: str
+    version: int | None = None
+    change_id: str | None = None
+
+
+def send_problem(reply, problem):
+    """Answer with ``application/problem+json``."""
+    body = {
+        "type": f"urn:valeweir:problem:{problem.code}",
+        "title": problem.code.replace("-", " "),
+        "status": problem.status,
+        "detail": problem.detail,
+    }
+    if problem.version is not None:
+        body["version"] = problem.version
+    if problem.change_id is not None:
+        body["change_id"] = problem.change_id
+    reply.send_json(problem.status, body, kind="application/problem+json")
--- /dev/null
+++ b/packages/valeweir_platform/src/valeweir_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Peer: the platform's log service and membership list."""
--- /dev/null
+++ b/packages/valeweir_platform/src/valeweir_platform/followers.py
@@ -0,0 +1,148 @@
+"""Reading the log to its end, over and over, and writing to it once.
+
+The follower is the only one that folds; whoever appends waits until the
+follower has met its change id on the log.
+"""
+
+import threading
+import time
+
+import msgspec
+from loguru import logger
+from valeweir.configuration import Verdict, decode_record
+from valeweir.exceptions import AppendUnsettled, PlatformUnavailable
+
+
+class Settled(threading.Event):
+    """A change whose verdict somebody waits for."""
+
+    verdict: Verdict | None = None
+
+
+class LogFollower:
+    """Folds the log into a configuration.
+
+    Parameters
+    ----------
+    log : valeweir_platform.adapters.Log
+    configuration : valeweir.configuration.Configuration
+    lock : threading.RLock
+        Guards the configuration.
+    on_change : callable
+        Called with the lock held after the configuration has changed.
+    on_reached : callable
+        Called with the lock held when the end of the log was reached.
+    """
+
+    def __init__(self, log, configuration, lock, on_change, on_reached):
+        self._log = log
+        self._configuration = configuration
+        self._lock = lock
+        self._on_change = on_change
+        self._on_reached = on_reached
+        self._waiting = {}
+        self.available = False
+        self._caught_up = False
+
+    def run(self, poll, stopped):
+        """Follow the log until ``stopped``; the body of a thread."""
+        while not stopped.is_set():
+            try:
+                more = self.follow_once()
+            except Exception:
+                # The last good configuration stays in force.
+                logger.exception("following the log failed")
+                more = False
+            if not more:
+                stopped.wait(poll)
+
+    def follow_once(self):
+        """Read and fold one batch; return whether there may be more."""
+        try:
+            batch = self._log.read(self._configuration.offset)
+        except (PlatformUnavailable, msgspec.MsgspecError) as exc:
+            self._set_available(False, str(exc))
+            return False
+        self._set_available(True, "")
+        with self._lock:
+            self._fold(batch)
+            reached = self._configuration.offset >= batch.next
+            if reached:
+                self._caught_up = True
+                self._on_reached()
+        return not reached
+
+    def submit(self, change, timeout):
+        """Append a change and wait for its verdict.
+
+        Returns
+        -------
+        Verdict or None
+            None where the append may have taken effect but has not been seen:
+            the change id settles it later.
+
+        Raises
+        ------
+        PlatformUnavailable
+            The change is certainly not on the log.
+        """
+        settled = Settled()
+        with self._lock:
+            known = self._configuration.verdicts.get(change.id)
+            if known is not None:
+                return known
+            self._waiting[change.id] = settled
+        try:
+            self._log.append({"change": msgspec.to_builtins(change)})
+        except AppendUnsettled:
+            pass
+        except PlatformUnavailable:
+            with self._lock:
+                self._waiting.pop(change.id, None)
+            raise
+        deadline = time.monotonic() + timeout
+        while not settled.is_set() and time.monotonic() < deadline:
+            self.follow_once()
+            settled.wait(0.05)
+        with self._lock:
+            self._waiting.pop(change.id, None)
+        return settled.verdict
+
+    def _fold(self, batch):
+        before = self._configuration.offset
+        if batch.records and batch.records[0].offset > before and before < batch.first:
+            logger.bind(offset=before, first=batch.first).warning("log expired")
+        for record in batch.records:
+            if record.offset < self._configuration.offset:
+                continue
+            kind, value = decode_record(record.body)
+            if kind == "snapshot":
+                self._configuration.adopt(value)
+            verdict = self._configuration.fold(
+                record.offset, value if kind == "change" else None
+            )
+            if kind == "change":
+                self._settle(value, verdict)
+        if self._configuration.offset != before:
+            self._on_change()
+
+    def _settle(self, change, verdict):
+        # What was there before this daemon started is no change of state here.
+        level = "INFO" if self._caught_up else "DEBUG"
+        logger.bind(
+            kind=change.kind,
+            resource=change.name,
+            accepted=verdict.accepted,
+            why=verdict.why,
+            version=verdict.version,
+            author=change.author,
+        ).log(level, "change folded")
+        settled = self._waiting.get(change.id)
+        if settled is not None:
+            settled.verdict = verdict
+            settled.set()
+
+    def _set_available(self, available, why):
+        if available != self.available:
+            logger.bind(available=available, why=why).warning("log service")
+        self.available = available
--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/__init__.py
@@ -0,0 +1,1 @@
+"""The router daemon: the peers put together around the sharing decisions."""
--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/gossip.py
@@ -0,0 +1,267 @@
+"""Messages of the other routers: digests once an interval, and the rest.
+
+Every function expects the state's lock to be held.
+"""
+
+import msgspec
+from loguru import logger
+from valeweir import metrics
+from valeweir.configuration import View
+from valeweir_fleet.messages import (
+    Ask,
+    Digest,
+    History,
+    HistoryQuery,
+    Identity,
+    Offer,
+    PoolReport,
+    ViewAnswer,
+    ViewQuery,
+)
+from valeweir_fleet.peers import Member
+from valeweir_sharing.accounts import Key, Report
+
+from . import leasing, scheduler
+
+_WHOLE_EVERY = 20
+
+
+def tick(state):
+    """Do what is due once an interval: liveness, leases, digests."""
+    leasing.note_pause(state)
+    leasing.drop_lapsed(state)
+    refresh_live(state)
+    leasing.renew_own(state)
+    leasing.expire_leases(state)
+    leasing.give_idle(state)
+    for pool in state.pools:
+        state.ledger.clamp(pool, _get_clamp(state, pool))
+        leasing.plan(state, pool)
+    leasing.plan_idle(state)
+    state.ledger.clear_pending("predicted")
+    send_digests(state)
+
+
+def refresh_live(state):
+    """Note routers that came or went, and move ownership accordingly."""
+    changes = state.peers.get_changes(state.clock())
+    for change in changes:
+        state.ledger.set_live(change.peer.source, change.live)
+        logger.bind(peer=change.peer.source, live=change.live).info("peer changed")
+    for peer in state.peers.replaced:
+        state.ledger.retire(peer.source, state.clock())
+    moved = bool(changes or state.peers.replaced)
+    state.peers.replaced.clear()
+    metrics.live_peers.set(len(state.peers.get_live()))
+    if moved:
+        leasing.update_ownership(state)
+
+
+def send_digests(state):
+    """Send every known router its digest."""
+    state.digests += 1
+    whole = state.digests % _WHOLE_EVERY == 1
+    pools = get_reports(state, whole)
+    state.told = {pool: state.ledger.get_own_waiting(pool) for pool in state.pools}
+    now = state.clock()
+    by_host = state.peers.by_host
+    for host, address in state.peers.get_targets(state.host).items():
+        peer = by_host.get(host)
+        digest = _make_digest(state, peer, pools, whole, now)
+        state.links.send(address, digest)
+
+
+def get_reports(state, whole):
+    """Return a `PoolReport` per pool, of all keys or of those that changed."""
+    ledger = state.ledger
+    keys = list(ledger.own) if whole else list(ledger.dirty)
+    ledger.dirty.clear()
+    by_pool = {}
+    for key in keys:
+        usage = ledger.own[key]
+        by_pool.setdefault(key.pool, {})[key.account] = (
+            int(usage.settled),
+            int(usage.inflight),
+            int(ledger.lifts.get(key, 0.0)),
+            usage.waiting,
+        )
+    return [
+        PoolReport(pool, int(ledger.fronts.get(pool, 0.0)), accounts)
+        for pool, accounts in by_pool.items()
+    ]
+
+
+def handle(state, message):
+    """Take in one message of another router."""
+    peer = state.peers.note(message, state.clock())
+    if peer is None:
+        metrics.control_dropped.labels("replayed").inc()
+        return
+    _HANDLERS[type(message)](state, peer, message)
+
+
+def _handle_digest(state, peer, digest):
+    if digest.identity is not None:
+        peer.domain = digest.identity.domain
+        peer.address = digest.identity.address
+    peer.sent_at = digest.sent_at
+    peer.echo = max(peer.echo, digest.echo)
+    peer.leaving = digest.leaving
+    peer.config_offset = digest.config_offset
+    state.holder.note_echo(peer.source, digest.echo)
+    refresh_live(state)
+    reports = [
+        (Key(pool.pool, account), Report(*figures))
+        for pool in digest.pools
+        for account, figures in pool.accounts.items()
+    ]
+    fronts = [(pool.pool, pool.front) for pool in digest.pools]
+    state.ledger.merge(peer.source, digest.seq, reports, fronts)
+    leasing.merge_grants(state, peer.source, digest.grants)
+    pools = leasing.merge_claims(state, peer.source, digest.claims)
+    for pool in pools | {pool.pool for pool in digest.pools}:
+        leasing.plan(state, pool)
+    _catch_up(state, peer, digest)
+
+
+def _handle_ask(state, peer, ask):
+    peer.sent_at = max(peer.sent_at, ask.sent_at)
+    state.ledger.merge_waiting(peer.source, ask.pool, ask.waiting)
+    leasing.merge_claims(state, peer.source, ask.claims)
+    leasing.plan(state, ask.pool)
+
+
+def _handle_offer(state, peer, offer):
+    peer.echo = max(peer.echo, offer.echo)
+    state.holder.note_echo(peer.source, offer.echo)
+    leasing.merge_grants(state, peer.source, offer.grants)
+    leasing.answer_recall(state, offer.recall)
+
+
+def _handle_view_query(state, peer, query):
+    if state.configuration.offset > query.offset:
+        view = msgspec.msgpack.encode(state.configuration.get_view())
+        _send(state, peer, ViewAnswer, view=view)
+
+
+def _handle_view_answer(state, peer, answer):
+    try:
+        view = msgspec.msgpack.decode(answer.view, type=View)
+    except msgspec.MsgspecError:
+        metrics.control_dropped.labels("malformed").inc()
+        return
+    if not state.configuration.adopt(view):
+        metrics.config_reverts.inc()
+        return
+    state.config_known = True
+    apply_configuration(state)
+    logger.bind(peer=peer.source, offset=view.offset).info("configuration adopted")
+
+
+def _handle_history_query(state, peer, _query):
+    base, retired = state.ledger.get_history()
+    by_pool = {}
+    for key, cost in base.items():
+        by_pool.setdefault(key.pool, {})[key.account] = cost
+    _send(state, peer, History, base=by_pool, retired=retired)
+
+
+def _handle_history(state, peer, history):
+    if state.history_known:
+        return
+    state.history_known = True
+    base = {
+        Key(pool, account): cost
+        for pool, accounts in history.base.items()
+        for account, cost in accounts.items()
+    }
+    state.ledger.adopt_history(base, history.retired, state.clock())
+    logger.bind(peer=peer.source).info("history adopted")
+
+
+_HANDLERS = {
+    Digest: _handle_digest,
+    Ask: _handle_ask,
+    Offer: _handle_offer,
+    ViewQuery: _handle_view_query,
+    ViewAnswer: _handle_view_answer,
+    HistoryQuery: _handle_history_query,
+    History: _handle_history,
+}
+
+
+def apply_configuration(state):
+    """Put a new configuration in force here."""
+    known = set(state.upstreams)
+    state.apply_configuration()
+    leasing.update_ownership(state)
+    for name in known - set(state.upstreams):
+        state.holder.held.pop(name, None)
+    for name, up in state.upstreams.items():
+        if up.leaving and name in state.holder.held:
+            leasing.hand_back(state, name, state.holder.held[name].free)
+    for pool in state.pools:
+        scheduler.dispatch(state, pool)
+
+
+def set_members(state, hosts):
+    """Take in the platform's membership list."""
+    members = [
+        Member(h.host, h.domain, h.address, h.state == "leaving")
+        for h in hosts
+        if h.role == "router"
+    ]
+    known = {m.host for m in members}
+    seeds = [m for m in get_seeds(state) if m.host not in known]
+    state.peers.set_members(members + seeds)
+    leasing.update_ownership(state)
+
+
+def get_seeds(state):
+    """Return the routers that the settings name."""
+    return [Member(**seed) for seed in state.cfg["fleet"]["seeds"]]
+
+
+def _make_digest(state, peer, pools, whole, now):
+    source = peer.source if peer else None
+    claims = [
+        state.holder.get_claim(name, state.health.is_ejected(name, now))
+        for name in state.holder.held
+        if source is not None and source in leasing.get_claim_targets(state, name)
+    ]
+    grants = [
+        table.get_grant(source)
+        for table in state.tables.values()
+        if source in table.entries
+    ]
+    greet = whole or peer is None or not peer.live
+    return Digest(
+        source=state.source,
+        seq=state.next_seq(),
+        sent_at=now,
+        echo=peer.sent_at if peer else 0.0,
+        leaving=state.leaving,
+        config_offset=state.configuration.offset,
+        identity=Identity(state.domain, state.links.address) if greet else None,
+        whole=whole,
+        pools=pools,
+        claims=claims,
+        grants=grants,
+    )
+
+
+def _catch_up(state, peer, digest):
+    if not state.history_known:
+        _send(state, peer, HistoryQuery)
+    if digest.config_offset > state.configuration.offset and not state.config_known:
+        _send(state, peer, ViewQuery, offset=state.configuration.offset)
+
+
+def _send(state, peer, kind, **fields):
+    if peer.address:
+        message = kind(source=state.source, seq=state.next_seq(), **fields)
+        state.links.send(peer.address, message)
+
+
+def _get_clamp(state, pool):
+    return state.cfg["sharing"]["clamp"] * state.ledger.get_unit(pool)
--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/leasing.py
@@ -0,0 +1,463 @@
+"""Slots between routers: what this one asks for, gives back and grants.
+
+Every function expects the state's lock to be held.
+"""
+
+import time
+
+from loguru import logger
+from valeweir import metrics
+from valeweir_fleet.messages import Ask, Offer
+from valeweir_sharing.accounts import Key
+from valeweir_sharing.grants import Want, plan_floats, plan_gifts
+from valeweir_sharing.leases import MARGIN, Table
+from valeweir_sharing.ownership import choose_owner, get_candidates, get_group
+
+from . import scheduler
+
+ASK_GAP = 0.05
+
+# -- holder ----------------------------------------------------------------
+
+
+def want(state, pool, account):
+    """Ask the owners of a pool for slots, at most once in `ASK_GAP`.
+
+    Nothing is asked while the owners know of requests of this account that
+    wait here: they count on it for the next free slot anyway.
+    """
+    now = state.clock()
+    plan(state, pool)
+    if state.told.get(pool, {}).get(account, 0) > 0:
+        return
+    if now - state.last_ask.get(pool, 0.0) < ASK_GAP:
+        state.ask_due.add(pool)
+        return
+    send_ask(state, pool, get_pool_owners(state, pool))
+
+
+def note_served(state, pool, account):
+    """Note that one request which the owners knew of waits no more."""
+    told = state.told.get(pool)
+    if told and told.get(account):
+        told[account] -= 1
+
+
+def send_ask(state, pool, owners, upstreams=()):
+    """Tell owners what waits here; claims of ``upstreams`` go along."""
+    now = state.clock()
+    state.last_ask[pool] = now
+    state.ask_due.discard(pool)
+    waiting = state.ledger.get_own_waiting(pool)
+    if set(owners) >= get_pool_owners(state, pool):
+        state.told[pool] = dict(waiting)
+    for source in owners:
+        peer = state.peers.by_source.get(source)
+        if peer is None or not peer.live:
+            continue
+        claims = [
+            state.holder.get_claim(name)
+            for name in upstreams
+            if source in get_claim_targets(state, name)
+        ]
+        ask = Ask(
+            source=state.source,
+            seq=state.next_seq(),
+            sent_at=now,
+            pool=pool,
+            waiting=waiting,
+            claims=claims,
+        )
+        state.links.send(peer.address, ask)
+
+
+def hand_back(state, upstream, count):
+    """Return free slots to their owner, which grants them anew at once."""
+    if state.owners.get(upstream) is None:
+        # Nobody to take them: no router of the domain is heard from, or slots
+        # are split for good.
+        return
+    given = state.holder.give_back(upstream, count)
+    if not given:
+        return
+    metrics.slot_moves.labels("back").inc(given)
+    pool = state.upstreams[upstream].pool if upstream in state.upstreams else ""
+    _predict_use(state, pool, given)
+    if state.owners.get(upstream) == state.source:
+        _claim_own(state, upstream)
+        plan(state, pool)
+        return
+    send_ask(state, pool, get_claim_targets(state, upstream), [upstream])
+
+
+def give_idle(state):
+    """Hand back slots that others can use, or that have long lain idle."""
+    for pool, names in state.pools.items():
+        queue = state.get_queue(pool)
+        wanted = state.ledger.elsewhere.get(pool)
+        keep = 0 if wanted else state.cfg["sharing"]["float_slots"]
+        if queue.size:
+            continue
+        spare = sum(held.free for held in _get_held(state, names)) - keep
+        for name in sorted(names):
+            held = state.holder.held.get(name)
+            if spare <= 0:
+                break
+            if held is None or not held.free:
+                continue
+            idle = min(held.free, spare, state.idle_low.get(name, 0))
+            count = min(held.free, spare) if wanted else idle
+            if count > 0:
+                hand_back(state, name, count)
+                spare -= count
+    state.idle_low = {n: h.free for n, h in state.holder.held.items()}
+
+
+def note_idle(state, upstream):
+    """Remember the fewest free slots seen since the last digest."""
+    held = state.holder.held[upstream]
+    state.idle_low[upstream] = min(state.idle_low.get(upstream, 0), held.free)
+
+
+def merge_grants(state, owner, grants):
+    """Take in grants of another router, and use them."""
+    pools = set()
+    for grant in grants:
+        gained = state.holder.merge_grant(owner, grant)
+        up = state.upstreams.get(grant.upstream)
+        if gained > 0 and up is not None:
+            metrics.slot_moves.labels("granted").inc(gained)
+            pools.add(up.pool)
+    for pool in pools:
+        scheduler.dispatch(state, pool)
+
+
+def get_claim_targets(state, upstream):
+    """Return the incarnations to tell of our slots: lessor and owner by now.
+
+    The lessor may have lost its ownership: while it answers us our lease
+    runs, so it has to know that we hold it.
+    """
+    targets = {state.owners.get(upstream)}
+    held = state.holder.held.get(upstream)
+    if held is not None and held.slots > 0:
+        targets.add(held.owner)
+    targets -= {None, state.source}
+    return targets
+
+
+def get_pool_owners(state, pool):
+    """Return the other routers that own upstreams of a pool."""
+    owners = {state.owners.get(name) for name in state.pools.get(pool, ())}
+    return owners - {None, state.source}
+
+
+def renew_own(state):
+    """Extend the leases that this router holds of itself."""
+    state.holder.note_echo(state.source, state.clock())
+
+
+def drop_lapsed(state):
+    """Stop using leases whose owner has not answered in time."""
+    for upstream in state.holder.drop_lapsed(state.clock()):
+        metrics.lease_lapses.inc()
+        logger.bind(upstream=upstream).warning("lease lapsed")
+
+
+# -- owner -----------------------------------------------------------------
+
+
+def note_pause(state):
+    """Start tenures anew after a pause in which others may have taken over."""
+    now = state.clock()
+    paused = now - state.last_tick > state.holder.lease_time
+    state.last_tick = now
+    if not paused:
+        return
+    settled_at = now + state.holder.lease_time + MARGIN
+    for table in state.tables.values():
+        table.renew(max(table.epoch + 1, int(time.time())), settled_at)
+    if state.tables:
+        logger.bind(upstreams=len(state.tables)).warning("paused, tenures renewed")
+
+
+def update_ownership(state):
+    """Recompute who owns what from the routers that are live now."""
+    if state.cfg["sharing"]["mode"] == "static":
+        _assign_static(state)
+        return
+    now = state.clock()
+    sources = _get_member_sources(state)
+    members = [(host, domain) for host, (_, domain) in sources.items()]
+    state.owners = {}
+    for up in state.upstreams.values():
+        size = len([n for n in state.pools[up.pool] if _same_domain(state, n, up)])
+        group = get_group(up.name, up.pool, up.domain, size)
+        host = choose_owner(group, get_candidates(up.domain, members))
+        if host is not None:
+            state.owners[up.name] = sources[host][0]
+    _update_tables(state, now)
+    metrics.owned_upstreams.set(len(state.tables))
+
+
+def plan(state, pool):
+    """Grant the free slots of the upstreams we own in a pool."""
+    now = state.clock()
+    wants = _get_wants(state, pool)
+    if not wants:
+        return
+    free = _get_free(state, pool, now)
+    if not free:
+        recall_idle(state, pool)
+        return
+    gifts = plan_gifts(pool, free, wants, state.ledger, _prefer_for(state))
+    deliver(state, gifts, now)
+
+
+def recall_idle(state, pool):
+    """Ask holders for slots that lie idle while others wait."""
+    now = state.clock()
+    if now - state.last_recall.get(pool, 0.0) < ASK_GAP:
+        return
+    idle = {}
+    for name in state.pools.get(pool, ()):
+        table = state.tables.get(name)
+        for holder, entry in table.entries.items() if table else ():
+            if holder != state.source and entry.idle:
+                idle.setdefault(holder, []).append(name)
+    for holder, names in idle.items():
+        state.last_recall[pool] = now
+        _send_offer(state, holder, [], names)
+
+
+def answer_recall(state, upstreams):
+    """Hand back what lies idle here of upstreams whose owner asks."""
+    for name in upstreams:
+        up = state.upstreams.get(name)
+        held = state.holder.held.get(name)
+        if up is None or held is None or state.get_queue(up.pool).size:
+            continue
+        hand_back(state, name, held.free)
+
+
+def plan_idle(state):
+    """Spread what nobody waits for as small floats."""
+    limit = state.cfg["sharing"]["float_slots"]
+    now = state.clock()
+    for pool, names in state.pools.items():
+        if limit == 0 or state.ledger.get_waiting(pool):
+            continue
+        free = _get_free(state, pool, now)
+        if not free:
+            continue
+        held = dict.fromkeys(_get_holders(state), 0)
+        for name in names:
+            if name in state.tables:
+                for holder, entry in state.tables[name].entries.items():
+                    if holder in held:
+                        held[holder] += entry.slots - entry.used
+        deliver(state, plan_floats(free, held, limit), now)
+
+
+def deliver(state, gifts, now):
+    """Enter gifts in the tables and tell the holders."""
+    grants = {}
+    for gift in gifts:
+        state.tables[gift.upstream].grant(gift.holder, 1, now)
+        if gift.account is not None and gift.holder != state.source:
+            pool = state.upstreams[gift.upstream].pool
+            state.ledger.take_demand(gift.holder, Key(pool, gift.account))
+        grants.setdefault(gift.holder, set()).add(gift.upstream)
+    for holder, names in grants.items():
+        rows = [state.tables[name].get_grant(holder) for name in sorted(names)]
+        if holder == state.source:
+            merge_grants(state, state.source, rows)
+        else:
+            _send_offer(state, holder, rows)
+
+
+def merge_claims(state, holder, claims):
+    """Take in what a holder says of upstreams we own; return pools to plan."""
+    now = state.clock()
+    pools = set()
+    answers = []
+    for claim in claims:
+        table = state.tables.get(claim.upstream)
+        if table is None:
+            continue
+        rival = table.merge_claim(holder, claim, now)
+        if rival is not None:
+            _outbid(state, table, rival, now)
+        elif table.entries[holder].lease != claim.lease or claim.epoch != table.epoch:
+            answers.append(table.get_grant(holder))
+        pools.add(state.upstreams[claim.upstream].pool)
+    if answers:
+        _send_offer(state, holder, answers)
+    return pools
+
+
+def expire_leases(state):
+    """Take back the slots of holders that are gone."""
+    now = state.clock()
+    for table in state.tables.values():
+        if state.source in table.entries:
+            table.entries[state.source].seen = now
+        for holder in table.expire(now, state.holder.lease_time):
+            logger.bind(upstream=table.upstream, holder=holder).info("lease expired")
+
+
+# -- details ---------------------------------------------------------------
+
+
+def _predict_use(state, pool, count):
+    """Assume that returned slots go to the least-served account elsewhere.
+
+    Until the next report this keeps one hungry account from drawing every
+    slot that frees in the meantime.
+    """
+    for _ in range(count):
+        least = state.ledger.get_least_elsewhere(pool)
+        if least is None:
+            return
+        unit = state.ledger.get_unit(pool)
+        state.ledger.add_pending("predicted", Key(pool, least[1]), unit)
+
+
+def _get_held(state, names):
+    return [state.holder.held[n] for n in names if n in state.holder.held]
+
+
+def _claim_own(state, upstream):
+    table = state.tables.get(upstream)
+    if table is not None:
+        claim = state.holder.get_claim(upstream)
+        table.merge_claim(state.source, claim, state.clock())
+
+
+def _get_member_sources(state):
+    """Return {host: (incarnation, domain)} of routers that may own."""
+    sources = {}
+    if not state.leaving:
+        sources[state.host] = (state.source, state.domain)
+    for peer in state.peers.get_live():
+        if not state.peers.is_leaving(peer):
+            sources[peer.host] = (peer.source, peer.domain)
+    return sources
+
+
+def _get_holders(state):
+    others = [p.source for p in state.peers.get_live() if not state.peers.is_leaving(p)]
+    return others if state.leaving else [state.source, *others]
+
+
+def _same_domain(state, name, up):
+    return state.upstreams[name].domain == up.domain
+
+
+def _update_tables(state, now):
+    settled_at = now + state.holder.lease_time + MARGIN
+    for name, up in state.upstreams.items():
+        mine = state.owners.get(name) == state.source
+        table = state.tables.get(name)
+        if mine and table is None:
+            epoch = _get_next_epoch(state, name)
+            state.tables[name] = Table(name, up.slots, epoch, settled_at)
+            logger.bind(upstream=name, epoch=epoch).info("ownership taken")
+        elif mine:
+            table.capacity = up.slots
+        elif table is not None:
+            del state.tables[name]
+            logger.bind(upstream=name).info("ownership given up")
+    for name in [n for n in state.tables if n not in state.upstreams]:
+        del state.tables[name]
+
+
+def _get_next_epoch(state, upstream):
+    held = state.holder.held.get(upstream)
+    known = held.epoch if held is not None else 0
+    return max(known + 1, int(time.time()))
+
+
+def _outbid(state, table, rival, now):
+    """Start a higher tenure after another owner's, if it is our turn to own."""
+    settled_at = now + state.holder.lease_time + MARGIN
+    table.renew(max(rival + 1, int(time.time())), settled_at)
+    logger.bind(upstream=table.upstream, epoch=table.epoch).warning("epoch raised")
+
+
+def _get_free(state, pool, now):
+    free = {}
+    for name in state.pools.get(pool, ()):
+        table = state.tables.get(name)
+        if table is None or state.upstreams[name].leaving:
+            continue
+        count = table.get_free(now)
+        if count:
+            free[name] = count
+    return free
+
+
+def _get_wants(state, pool):
+    own = state.ledger.get_own_waiting(pool)
+    wants = [Want(state.source, account, count) for account, count in own.items()]
+    for peer in state.peers.get_live():
+        demand = state.ledger.get_demand(peer.source, pool)
+        wants += [Want(peer.source, a, count) for a, count in demand.items()]
+    return wants
+
+
+def _prefer_for(state):
+    domains = {p.source: p.domain for p in state.peers.get_live()}
+    domains[state.source] = state.domain
+
+    def prefer(holder, names):
+        open_to = [n for n in names if not _is_refused(state, n, holder)]
+        if not open_to:
+            return None
+        home = domains.get(holder)
+        return min(open_to, key=lambda n: (state.upstreams[n].domain != home, n))
+
+    return prefer
+
+
+def _is_refused(state, upstream, holder):
+    entry = state.tables[upstream].entries.get(holder)
+    return entry is not None and entry.refused
+
+
+def _send_offer(state, holder, grants, recall=()):
+    peer = state.peers.by_source.get(holder)
+    if peer is None:
+        return
+    offer = Offer(
+        source=state.source,
+        seq=state.next_seq(),
+        echo=peer.sent_at,
+        grants=grants,
+        recall=list(recall),
+    )
+    state.links.send(peer.address, offer)
+
+
+def _assign_static(state):
+    """Split every upstream's slots evenly over the routers of the settings."""
+    seeds = state.cfg["fleet"]["seeds"]
+    hosts = sorted({s["host"] for s in seeds} | {state.host})
+    place = hosts.index(state.host)
+    for number, up in enumerate(state.upstreams.values()):
+        slots, extra = divmod(up.slots, len(hosts))
+        mine = slots + ((place + number * extra) % len(hosts) < extra)
+        held = state.holder.held.setdefault(up.name, _make_static())
+        held.granted = mine
+    state.holder.heard["static"] = float("inf")
+    for pool in state.pools:
+        scheduler.dispatch(state, pool)
+
+
+def _make_static():
+    from valeweir_sharing.leases import Held
+
+    held = Held()
+    held.owner = "static"
+    held.epoch = held.lease = 1
+    return held
--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/main.py
@@ -0,0 +1,55 @@
+"""The router daemon's command line."""
+
+import signal
+import sys
+import threading
+
+import click
+from valeweir import __version__
+from valeweir.exceptions import SettingsError
+from valeweir.logs import prepare_logs
+from valeweir.settings import load_settings
+
+from .router import create_router
+
+_BAD_SETTINGS = 2
+_CUT = 1
+_THREAD_STACK = 256 << 10
+
+
+@click.command()
+@click.argument("settings", type=click.Path(dir_okay=False))
+@click.version_option(__version__, prog_name="valeweird")
+def main(settings):
+    """Run one router with the SETTINGS file until it is told to stop.
+
+    SIGTERM or SIGINT starts a planned stop; a second one ends it at once.
+    Exit codes: 0 nothing was cut, 1 requests were cut, 2 bad settings.
+    """
+    try:
+        cfg = load_settings(settings)
+    except SettingsError as exc:
+        for fault in exc.faults:
+            click.echo(f"{exc.path}: {fault}", err=True)
+        sys.exit(_BAD_SETTINGS)
+    prepare_logs(cfg["log"]["form"], cfg["log"]["level"])
+    # Thousands of callers may wait, each in a thread of its own.
+    threading.stack_size(_THREAD_STACK)
+    router = create_router(cfg)
+    asked = threading.Event()
+
+    def on_signal(_number, _frame):
+        if asked.is_set():
+            router.end_now()
+        asked.set()
+
+    signal.signal(signal.SIGTERM, on_signal)
+    signal.signal(signal.SIGINT, on_signal)
+    router.start()
+    while not asked.wait(1.0):
+        pass
+    sys.exit(_CUT if router.stop() else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/router.py
@@ -0,0 +1,180 @@
+"""One router: its parts made, started and stopped."""
+
+import threading
+import time
+
+from loguru import logger
+from valeweir import metrics
+from valeweir.exceptions import PlatformUnavailable
+from valeweir.servers import create_server, set_tls
+from valeweir.timers import TimerService
+from valeweir_fleet.links import CurveKeys, Links
+from valeweir_platform.adapters import create_log, create_membership
+from valeweir_platform.followers import LogFollower
+from valeweir_upstreams.connections import Connections
+
+from . import gossip, leasing
+from .admin import create_admin_handler
+from .sessions import create_handler
+from .states import RouterState
+
+_ADMIN_THREADS = 64
+_STOP_POLL = 0.05
+_NUMBER_DIGITS = "0123456789abcdefghijklmnopqrstuvwxyz"
+
+
+class Router:
+    """A running router: its state and what has to be stopped."""
+
+    def __init__(self, state, callers, admin, timers, follower, membership):
+        self.state = state
+        self.callers = callers
+        self.admin = admin
+        self.timers = timers
+        self.follower = follower
+        self.membership = membership
+        self.stopped = threading.Event()
+
+    def start(self):
+        """Start every thread; returns at once."""
+        cfg = self.state.cfg
+        self.state.links.start(self._handle)
+        self.admin.start_threads()
+        self.callers.start_threads()
+        self.timers.subscribe("digests", cfg["fleet"]["interval"], self._tick)
+        self.timers.subscribe("asks", leasing.ASK_GAP, self._flush_asks)
+        self.timers.subscribe("members", cfg["platform"]["poll"], self._read_members)
+        self.timers.start()
+        threading.Thread(
+            target=self.follower.run,
+            args=(cfg["platform"]["poll"], self.stopped),
+            name="log",
+            daemon=True,
+        ).start()
+        logger.bind(source=self.state.source).info("started")
+
+    def stop(self):
+        """Leave as planned: hand over, finish what is here, then end."""
+        state = self.state
+        stop = state.cfg["stop"]
+        with state.lock:
+            state.leaving = True
+            leasing.update_ownership(state)
+            gossip.send_digests(state)
+        logger.info("stopping")
+        deadline = time.monotonic() + stop["limit"]
+        self._wait(time.monotonic() + stop["balancer_wait"], lambda: False)
+        self._wait(deadline, lambda: state.inflight == 0)
+        with state.lock:
+            state.refusing = True
+        left = state.inflight
+        self._end()
+        logger.bind(cut=left).info("stopped")
+        return left
+
+    def end_now(self):
+        """Cut a planned stop's waits short."""
+        self.stopped.set()
+
+    def _wait(self, deadline, is_done):
+        while time.monotonic() < deadline and not is_done():
+            if self.stopped.wait(_STOP_POLL):
+                return
+
+    def _end(self):
+        self.stopped.set()
+        self.timers.stop()
+        self.callers.stop()
+        self.admin.stop()
+        self.state.links.stop()
+
+    def _handle(self, message):
+        with self.state.lock:
+            gossip.handle(self.state, message)
+
+    def _tick(self):
+        started = time.thread_time()
+        with self.state.lock:
+            gossip.tick(self.state)
+        metrics.control_seconds.inc(time.thread_time() - started)
+
+    def _flush_asks(self):
+        with self.state.lock:
+            for pool in list(self.state.ask_due):
+                owners = leasing.get_pool_owners(self.state, pool)
+                leasing.send_ask(self.state, pool, owners)
+
+    def _read_members(self):
+        try:
+            hosts = self.membership()
+        except PlatformUnavailable:
+            return
+        with self.state.lock:
+            gossip.set_members(self.state, hosts)
+
+
+def create_router(cfg):
+    """Return a `Router` for checked settings, its ports bound."""
+    state = RouterState(cfg, _make_source(cfg["host"]))
+    fleet = cfg["fleet"]
+    state.links = Links(fleet["address"], _get_keys(fleet))
+    state.peers.set_members(gossip.get_seeds(state))
+    platform = cfg["platform"]
+    log = create_log(platform["log"], platform["timeout"])
+    follower = LogFollower(
+        log,
+        state.configuration,
+        state.lock,
+        on_change=lambda: gossip.apply_configuration(state),
+        on_reached=lambda: _note_reached(state),
+    )
+    callers = _create_port(
+        cfg["callers"], create_handler(state, Connections()), cfg["callers"]["threads"]
+    )
+    admin = _create_port(
+        cfg["admin"], create_admin_handler(state, follower.submit), _ADMIN_THREADS
+    )
+    membership = create_membership(platform["membership"], platform["timeout"])
+    return Router(state, callers, admin, TimerService(), follower, membership)
+
+
+def _create_port(part, handle, threads):
+    server = create_server(
+        part["address"],
+        handle,
+        threads=threads,
+        max_body=part.get("max_body", 1 << 20),
+        max_header=part.get("max_header", 32 << 10),
+        timeout=part.get("header_timeout", 10.0),
+        note_refusal=lambda code: metrics.refusals.labels(code).inc(),
+    )
+    if "certificate" in part:
+        set_tls(server, part["certificate"], part["key"])
+    return server
+
+
+def _note_reached(state):
+    if not state.config_known:
+        state.config_known = True
+        logger.bind(offset=state.configuration.offset).info("configuration known")
+
+
+def _get_keys(fleet):
+    if "public_key" not in fleet or "secret_key" not in fleet:
+        return None
+    allowed = fleet.get("allowed_keys") or [fleet["public_key"]]
+    return CurveKeys(
+        fleet["public_key"].encode(),
+        fleet["secret_key"].encode(),
+        tuple(key.encode() for key in allowed),
+    )
+
+
+def _make_source(host):
+    """Return a new incarnation's name; a later start has a higher number."""
+    number = time.time_ns() // 1_000_000
+    digits = ""
+    while number:
+        number, digit = divmod(number, len(_NUMBER_DIGITS))
+        digits = _NUMBER_DIGITS[digit] + digits
+    return f"{host}#{digits}"
--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/states.py
@@ -0,0 +1,202 @@
+"""All that one router knows; one lock guards it."""
+
+import random
+import threading
+from typing import NamedTuple
+
+from valeweir import metrics
+from valeweir.configuration import Configuration
+from valeweir.timers import get_lease_time
+from valeweir_fleet.peers import Peers
+from valeweir_sharing.accounts import Key, Ledger
+from valeweir_sharing.choice import PrefixHints
+from valeweir_sharing.estimates import Estimates
+from valeweir_sharing.health import Health
+from valeweir_sharing.leases import Holder
+from valeweir_sharing.limits import EntryLimits, Occupancy, RetryBudget
+from valeweir_sharing.queues import OrderSettings, PoolQueue
+
+
+class Upstream(NamedTuple):
+    """An upstream in force."""
+
+    name: str
+    pool: str
+    kind: str
+    domain: str
+    address: str
+    slots: int
+    leaving: bool
+    repeatable: frozenset[str]
+    models: frozenset[str]
+
+
+class Ticket:
+    """One request from its arrival to its end.
+
+    ``estimate`` is the expected cost and ``charge`` the same per weight;
+    ``settled`` is the cost already settled while the answer streams.
+    """
+
+    __slots__ = (
+        "account",
+        "arrived",
+        "charge",
+        "deadline",
+        "dispatched",
+        "excluded",
+        "gate",
+        "id",
+        "placement",
+        "pool",
+        "prefix",
+        "settled",
+        "size",
+        "weight",
+        "work_class",
+    )
+
+    def __init__(self, request_id, key, work_class, arrived, deadline, size, prefix):
+        self.id = request_id
+        self.pool, self.account = key
+        self.work_class = work_class
+        self.arrived = arrived
+        self.deadline = deadline
+        self.size = size
+        self.prefix = prefix
+        self.weight = 1.0
+        self.charge = 0.0
+        self.settled = 0.0
+        self.dispatched = 0.0
+        self.excluded = set()
+        self.placement = None
+        self.gate = threading.Lock()
+        self.gate.acquire()
+
+    @property
+    def key(self):
+        """The ledger's key."""
+        return Key(self.pool, self.account)
+
+
+class RouterState:
+    """The state of one router.
+
+    Attributes
+    ----------
+    source : str
+        This incarnation, ``HOST#NUMBER``.
+    upstreams : dict of str to Upstream
+    pools : dict of str to list of upstream names
+    owners : dict of upstream to the incarnation that leases out its slots
+    tables : dict of upstream to Table, for those this router owns
+    """
+
+    def __init__(self, cfg, source, clock=get_lease_time, seed=None):
+        self.cfg = cfg
+        self.source = source
+        self.host = cfg["host"]
+        self.domain = cfg["domain"]
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.lock = threading.RLock()
+        self.configuration = Configuration()
+        self.upstreams = {}
+        self.pools = {}
+        self.accounts_by_hash = {}
+        self.weights = {}
+        self.weight_sum = 1.0
+        self.ledger = Ledger()
+        self.estimates = Estimates()
+        self.queues = {}
+        self.holder = Holder(cfg["fleet"]["lease"])
+        self.tables = {}
+        self.owners = {}
+        self.last_tick = clock()
+        self.last_ask = {}
+        self.last_recall = {}
+        self.told = {}
+        self.ask_due = set()
+        self.idle_low = {}
+        self.peers = Peers(4 * cfg["fleet"]["interval"])
+        self.health = Health(self.rng)
+        self.hints = PrefixHints()
+        self.loads = {}
+        self.occupancy = Occupancy()
+        self.retries = RetryBudget()
+        self.inflight = 0
+        self.leaving = False
+        self.refusing = False
+        self.config_known = False
+        self.history_known = False
+        self.digests = 0
+        self.seq = 0
+        self.links = None
+        sharing = cfg["sharing"]
+        self.order = OrderSettings(sharing["class_bonus"], sharing["aging"])
+        callers = cfg["callers"]
+        self.limits = EntryLimits(
+            callers["max_waiting"], callers["max_waiting_body"], callers["max_body"]
+        )
+
+    def get_queue(self, pool):
+        """Return the queue of a pool."""
+        queue = self.queues.get(pool)
+        if queue is None:
+            queue = self.queues[pool] = PoolQueue()
+        return queue
+
+    def get_weight(self, pool, account):
+        """Return the account's share weight in a pool."""
+        specific = self.weights.get(f"{account}.{pool}")
+        return specific or self.weights.get(account, 1.0)
+
+    def get_part(self, account):
+        """Return the account's weight over the sum of all weights."""
+        return self.weights.get(account, 1.0) / self.weight_sum
+
+    def get_slack(self, pool):
+        """Return the hand-back slack in cost per weight."""
+        return self.cfg["sharing"]["slack"] * self.ledger.get_unit(pool)
+
+    def next_seq(self):
+        """Return the number of the next message sent."""
+        self.seq += 1
+        return self.seq
+
+    def apply_configuration(self):
+        """Rebuild what is derived from the configuration in force."""
+        resources = self.configuration.resources
+        self.upstreams = {r.name: _make_upstream(r) for r in _serving(resources)}
+        self.pools = {}
+        for up in self.upstreams.values():
+            self.pools.setdefault(up.pool, []).append(up.name)
+        self.accounts_by_hash = {
+            key_hash: res.name
+            for res in resources["client-accounts"].values()
+            for key_hash in res.spec["key_hashes"]
+        }
+        self.weights = {n: r.spec["weight"] for n, r in resources["shares"].items()}
+        accounts = resources["client-accounts"]
+        total = sum(self.weights.get(name, 1.0) for name in accounts)
+        self.weight_sum = total or 1.0
+        metrics.config_offset.set(self.configuration.offset)
+
+
+def _serving(resources):
+    return sorted(resources["upstreams"].values(), key=lambda r: r.name)
+
+
+def _make_upstream(res):
+    spec = res.spec
+    return Upstream(
+        res.name,
+        spec["pool"],
+        spec["kind"],
+        spec["domain"],
+        spec["address"],
+        spec["slots"],
+        spec.get("state", "serving") == "leaving",
+        frozenset(m.upper() for m in spec.get("repeatable", ())),
+        frozenset(spec.get("models", ())),
+    )
--- /dev/null
+++ b/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
@@ -0,0 +1,348 @@
+"""Service accounting: how much each client account has been given, fleet-wide.
+
+Service is kept per (pool, client account) in cost divided by the account's
+weight, so that accounts with equal figures have had equal shares. Each router
+incarnation owns one counter that only grows; counters of all incarnations are
+merged by maximum and summed. The sum plus the account's *lift* is its virtual
+service, as in start-time fair queueing (Goyal, Vin and Cheng, SIGCOMM 1996):
+an account that becomes backlogged is lifted to the least backlogged one, so
+that no credit is saved up while idle.
+"""
+
+from typing import NamedTuple
+
+
+class Key(NamedTuple):
+    """What service is accounted for."""
+
+    pool: str
+    account: str
+
+
+class Report(NamedTuple):
+    """One incarnation's figures for one key.
+
+    ``settled`` only grows; ``inflight`` is the charge for running requests;
+    ``lift`` is a fleet-wide maximum; ``waiting`` counts queued requests.
+    """
+
+    settled: float
+    inflight: float
+    lift: float
+    waiting: int
+
+
+class Usage:
+    """This incarnation's own figures for one key."""
+
+    __slots__ = ("inflight", "settled", "waiting")
+
+    def __init__(self):
+        self.settled = 0.0
+        self.inflight = 0.0
+        self.waiting = 0
+
+
+class _Source:
+    """What another incarnation reported last."""
+
+    __slots__ = ("live", "reports", "seq")
+
+    def __init__(self):
+        self.seq = -1
+        self.live = True
+        self.reports = {}
+
+
+class Ledger:
+    """All that one router knows of the fleet's service.
+
+    Attributes
+    ----------
+    own : dict of Key to Usage
+    sources : dict of str to _Source, by incarnation
+    lifts : dict of Key to float
+    fronts : dict of pool to float, the virtual service last dispatched at
+    elsewhere : dict of pool to {account: waiting requests at other routers}
+    """
+
+    def __init__(self):
+        self.own = {}
+        self.sources = {}
+        self.retired = {}
+        self.base = {}
+        self.lifts = {}
+        self.fronts = {}
+        self.units = {}
+        self.elsewhere = {}
+        self.dirty = set()
+        self.regressions = 0
+        self._others = {}
+        self._pending = {}
+        self._pending_sum = {}
+
+    # -- reading ---------------------------------------------------------
+
+    def get_virtual(self, key):
+        """Return the virtual service of ``key``, in cost per weight."""
+        total = self.lifts.get(key, 0.0) + self._get_service(key)
+        return total + self._pending_sum.get(key, 0.0)
+
+    def get_unit(self, pool):
+        """Return the mean charge of a request of ``pool``, in cost per weight."""
+        return self.units.get(pool, 1.0)
+
+    def get_own_waiting(self, pool):
+        """Return {account: requests waiting at this router}."""
+        return {
+            key.account: usage.waiting
+            for key, usage in self.own.items()
+            if key.pool == pool and usage.waiting
+        }
+
+    def get_waiting(self, pool):
+        """Return {account: requests waiting anywhere in the fleet}."""
+        totals = dict(self.elsewhere.get(pool, {}))
+        for account, count in self.get_own_waiting(pool).items():
+            totals[account] = totals.get(account, 0) + count
+        return totals
+
+    def get_least_elsewhere(self, pool):
+        """Return ``(virtual, account)`` of the least-served one waiting elsewhere.
+
+        None where no other router has work waiting.
+        """
+        waiting = self.elsewhere.get(pool)
+        if not waiting:
+            return None
+        return min((self.get_virtual(Key(pool, a)), a) for a in waiting)
+
+    # -- own service -----------------------------------------------------
+
+    def note_waiting(self, key, delta):
+        """Count a request that joins (1) or leaves (-1) the queue.
+
+        An account that was not waiting anywhere enters at no less than the
+        least-served waiting account, or the pool's front where none waits.
+        """
+        usage = self._get_usage(key)
+        if delta > 0 and not usage.waiting:
+            if not self.elsewhere.get(key.pool, {}).get(key.account):
+                self._lift_entrant(key)
+        usage.waiting += delta
+        self.dirty.add(key)
+
+    def charge(self, key, estimate):
+        """Charge ``estimate`` (cost per weight) at dispatch."""
+        before = self.get_virtual(key)
+        front = self.fronts.get(key.pool, 0.0)
+        self.fronts[key.pool] = max(front, before)
+        unit = self.units.get(key.pool, estimate)
+        self.units[key.pool] = unit + 0.05 * (estimate - unit)
+        self._get_usage(key).inflight += estimate
+        self.dirty.add(key)
+
+    def settle(self, key, estimate, actual):
+        """Turn part of a charge into settled service.
+
+        ``estimate`` leaves the charge, ``actual`` is added to the counter.
+        """
+        usage = self._get_usage(key)
+        usage.inflight = max(0.0, usage.inflight - estimate)
+        usage.settled += actual
+        self.dirty.add(key)
+
+    def add_pending(self, source, key, amount):
+        """Assume ``amount`` of service at ``source`` until its next report."""
+        pending = self._pending.setdefault(source, {})
+        pending[key] = pending.get(key, 0.0) + amount
+        self._pending_sum[key] = self._pending_sum.get(key, 0.0) + amount
+
+    def clear_pending(self, source):
+        """Forget what was assumed of ``source``."""
+        for key, amount in self._pending.pop(source, {}).items():
+            left = self._pending_sum.get(key, 0.0) - amount
+            if left > 1e-9:
+                self._pending_sum[key] = left
+            else:
+                self._pending_sum.pop(key, None)
+
+    def clamp(self, pool, bound):
+        """Lift waiting accounts to within ``bound`` of the best-served one.
+
+        After a cut heals, the difference carried over is at most ``bound``.
+        Returns the number of accounts lifted.
+        """
+        waiting = self.get_waiting(pool)
+        if len(waiting) < 2:
+            return 0
+        virtual = {a: self.get_virtual(Key(pool, a)) for a in waiting}
+        least_allowed = max(virtual.values()) - bound
+        low = [a for a, value in virtual.items() if value < least_allowed]
+        for account in low:
+            self._raise_lift(Key(pool, account), least_allowed - virtual[account])
+        return len(low)
+
+    # -- merging ---------------------------------------------------------
+
+    def merge(self, source, seq, reports, fronts):
+        """Merge what ``source`` reported; return False for old news.
+
+        Counters never go back: a smaller ``settled`` is ignored and counted.
+        """
+        if source in self.retired:
+            return False
+        state = self.sources.setdefault(source, _Source())
+        if seq <= state.seq:
+            return False
+        state.seq = seq
+        state.live = True
+        self.clear_pending(source)
+        for key, report in reports:
+            self._merge_report(state, key, report)
+        for pool, front in fronts:
+            self.fronts[pool] = max(self.fronts.get(pool, 0.0), front)
+        return True
+
+    def merge_waiting(self, source, pool, waiting):
+        """Replace what waits at ``source`` in ``pool``; {account: count}."""
+        state = self.sources.setdefault(source, _Source())
+        accounts = {k.account for k in state.reports if k.pool == pool}
+        for account in accounts | set(waiting):
+            key = Key(pool, account)
+            old = state.reports.get(key, Report(0.0, 0.0, 0.0, 0))
+            count = waiting.get(account, 0)
+            if state.live:
+                self._add_elsewhere(key, count - old.waiting)
+            state.reports[key] = old._replace(waiting=count)
+
+    def take_demand(self, source, key):
+        """Note that one request waiting at ``source`` has been given a slot."""
+        state = self.sources.get(source)
+        report = state.reports.get(key) if state else None
+        if report is None or report.waiting <= 0:
+            return
+        state.reports[key] = report._replace(waiting=report.waiting - 1)
+        if state.live:
+            self._add_elsewhere(key, -1)
+
+    def get_demand(self, source, pool):
+        """Return {account: waiting} at one other router."""
+        state = self.sources.get(source)
+        if state is None or not state.live:
+            return {}
+        return {
+            key.account: report.waiting
+            for key, report in state.reports.items()
+            if key.pool == pool and report.waiting > 0
+        }
+
+    def set_live(self, source, live):
+        """Stop or resume counting what waits and runs at ``source``."""
+        state = self.sources.get(source)
+        if state is None or state.live == live:
+            return
+        state.live = live
+        sign = 1 if live else -1
+        self.clear_pending(source)
+        for key, report in state.reports.items():
+            self._add_elsewhere(key, sign * report.waiting)
+            self._add_other(key, sign * report.inflight)
+
+    def retire(self, source, now):
+        """Fold a dead incarnation's settled service into the common base.
+
+        Its sum leaves ``sources`` unchanged in total, so virtual service does
+        not move; the name is remembered until `forget_retired`.
+        """
+        state = self.sources.get(source)
+        if state is None:
+            return
+        self.set_live(source, False)
+        del self.sources[source]
+        self.retired[source] = now
+        for key, report in state.reports.items():
+            self.base[key] = self.base.get(key, 0.0) + report.settled
+            self._add_other(key, -report.settled)
+
+    def forget_retired(self, before):
+        """Drop names retired earlier than ``before``."""
+        old = [source for source, at in self.retired.items() if at < before]
+        for source in old:
+            del self.retired[source]
+
+    # -- state for a router that starts empty ------------------------------
+
+    def get_history(self):
+        """Return ``(base, retired)``: what no live router reports any more."""
+        return dict(self.base), list(self.retired)
+
+    def adopt_history(self, base, retired, now):
+        """Take a peer's history, once, at start."""
+        self.base = dict(base)
+        self.retired = dict.fromkeys(retired, now)
+        for source in retired:
+            state = self.sources.get(source)
+            if state is not None:
+                self.set_live(source, False)
+                del self.sources[source]
+                for key, report in state.reports.items():
+                    self._add_other(key, -report.settled)
+
+    # -- details -----------------------------------------------------------
+
+    def _get_usage(self, key):
+        usage = self.own.get(key)
+        if usage is None:
+            usage = self.own[key] = Usage()
+        return usage
+
+    def _get_service(self, key):
+        total = self.base.get(key, 0.0) + self._others.get(key, 0.0)
+        usage = self.own.get(key)
+        if usage is not None:
+            total += usage.settled + usage.inflight
+        return total
+
+    def _lift_entrant(self, key):
+        waiting = self.get_waiting(key.pool)
+        waiting.pop(key.account, None)
+        if waiting:
+            floor = min(self.get_virtual(Key(key.pool, a)) for a in waiting)
+        else:
+            floor = self.fronts.get(key.pool, 0.0)
+        missing = floor - self.get_virtual(key)
+        if missing > 0:
+            self._raise_lift(key, missing)
+
+    def _raise_lift(self, key, amount):
+        self.lifts[key] = self.lifts.get(key, 0.0) + amount
+        self._get_usage(key)
+        self.dirty.add(key)
+
+    def _merge_report(self, state, key, report):
+        old = state.reports.get(key, Report(0.0, 0.0, 0.0, 0))
+        if report.settled < old.settled:
+            self.regressions += 1
+            report = report._replace(settled=old.settled)
+        self._add_other(
+            key, report.settled - old.settled + report.inflight - old.inflight
+        )
+        self._add_elsewhere(key, report.waiting - old.waiting)
+        state.reports[key] = report
+        if report.lift > self.lifts.get(key, 0.0):
+            self.lifts[key] = report.lift
+
+    def _add_other(self, key, amount):
+        if amount:
+            self._others[key] = self._others.get(key, 0.0) + amount
+
+    def _add_elsewhere(self, key, amount):
+        if not amount:
+            return
+        pool = self.elsewhere.setdefault(key.pool, {})
+        count = pool.get(key.account, 0) + amount
+        if count > 0:
+            pool[key.account] = count
+        else:
+            pool.pop(key.account, None)
--- /dev/null
+++ b/packages/valeweir_sharing/src/valeweir_sharing/estimates.py
@@ -0,0 +1,24 @@
+"""Estimates of a request's cost, learned per account, pool and class."""
+
+_MEMORY = 0.1
+_FIRST_GUESS = 100.0
+
+
+class Estimates:
+    """Moving means of real costs; the widest one known stands in for a gap."""
+
+    def __init__(self):
+        self._means = {}
+
+    def get(self, pool, account, work_class):
+        """Return the expected cost of a request."""
+        for key in ((pool, account, work_class), (pool, work_class), (pool,)):
+            if key in self._means:
+                return self._means[key]
+        return _FIRST_GUESS
+
+    def learn(self, pool, account, work_class, cost):
+        """Take in a real cost."""
+        for key in ((pool, account, work_class), (pool, work_class), (pool,)):
+            old = self._means.get(key, cost)
+            self._means[key] = old + _MEMORY * (cost - old)
--- /dev/null
+++ b/packages/valeweir_sharing/src/valeweir_sharing/leases.py
@@ -0,0 +1,272 @@
+"""Leases of an upstream's slots: the holder's side and the owner's side.
+
+A lease is (upstream, epoch, lease number) with two totals that only grow:
+slots granted by the owner, slots returned by the holder. Both travel as
+absolute figures, so lost, repeated and reordered messages do no harm, and the
+owner's count of outstanding slots is never below what the holder may use.
+"""
+
+from typing import NamedTuple
+
+MARGIN = 0.2
+
+
+class Claim(NamedTuple):
+    """What a holder says of its slots of one upstream, to the owner.
+
+    ``held`` and ``used`` let a new owner rebuild its table; ``refused`` is
+    true while this holder cannot reach the upstream.
+    """
+
+    upstream: str
+    epoch: int
+    lease: int
+    returned: int
+    held: int
+    used: int
+    refused: bool = False
+
+
+class Grant(NamedTuple):
+    """What the owner says of a holder's slots: total granted on the lease."""
+
+    upstream: str
+    epoch: int
+    lease: int
+    granted: int
+
+
+class Held:
+    """One holder's slots of one upstream."""
+
+    __slots__ = ("epoch", "granted", "lease", "owner", "returned", "used")
+
+    def __init__(self):
+        self.owner = None
+        self.epoch = 0
+        self.lease = 0
+        self.granted = 0
+        self.returned = 0
+        self.used = 0
+
+    @property
+    def slots(self):
+        """Slots on the lease, used or free."""
+        return self.granted - self.returned
+
+    @property
+    def free(self):
+        """Slots on the lease with no request of ours running."""
+        return max(0, self.slots - self.used)
+
+
+class Holder:
+    """All slots that one router holds.
+
+    Attributes
+    ----------
+    held : dict of upstream to Held
+    heard : dict of owner to float
+        Our own send time that the owner last answered; its leases lapse
+        ``lease_time`` after that.
+    """
+
+    def __init__(self, lease_time):
+        self.lease_time = lease_time
+        self.held = {}
+        self.heard = {}
+        self.lapses = 0
+
+    def note_echo(self, owner, sent_at):
+        """Extend the leases of ``owner``, which has seen our news of ``sent_at``."""
+        self.heard[owner] = max(self.heard.get(owner, 0.0), sent_at)
+
+    def merge_grant(self, owner, grant):
+        """Take in a grant; return the number of slots gained."""
+        held = self.held.setdefault(grant.upstream, Held())
+        known = (held.epoch, held.lease)
+        offered = (grant.epoch, grant.lease)
+        if offered < known:
+            return 0
+        before = held.slots
+        if offered > known:
+            held.owner = owner
+            held.epoch, held.lease = offered
+            held.granted = grant.granted
+            held.returned = 0
+        elif held.owner == owner:
+            held.granted = max(held.granted, grant.granted)
+        return held.slots - before
+
+    def is_valid(self, upstream, now):
+        """Return whether the lease of ``upstream`` has not lapsed at ``now``."""
+        held = self.held.get(upstream)
+        if held is None or held.owner is None:
+            return False
+        return now < self.heard.get(held.owner, 0.0) + self.lease_time
+
+    def take(self, upstream, now):
+        """Use a free slot for a request; False where none may be used."""
+        held = self.held.get(upstream)
+        if held is None or held.free <= 0 or not self.is_valid(upstream, now):
+            return False
+        held.used += 1
+        return True
+
+    def finish(self, upstream):
+        """Note that a request has left its slot."""
+        self.held[upstream].used -= 1
+
+    def give_back(self, upstream, count):
+        """Hand ``count`` free slots back; return how many there were."""
+        held = self.held.get(upstream)
+        if held is None:
+            return 0
+        count = min(count, held.free)
+        held.returned += count
+        return count
+
+    def drop_lapsed(self, now):
+        """Return whatever is on lapsed leases; list the upstreams concerned."""
+        dropped = []
+        for upstream, held in self.held.items():
+            if held.slots > 0 and not self.is_valid(upstream, now):
+                held.returned = held.granted
+                dropped.append(upstream)
+        self.lapses += len(dropped)
+        return dropped
+
+    def get_claim(self, upstream, refused=False):
+        """Return our `Claim` on ``upstream``."""
+        held = self.held.get(upstream) or Held()
+        return Claim(
+            upstream,
+            held.epoch,
+            held.lease,
+            held.returned,
+            held.slots,
+            held.used,
+            refused,
+        )
+
+
+class Entry:
+    """The owner's record of one holder of one upstream."""
+
+    __slots__ = ("granted", "idle", "lease", "refused", "returned", "seen", "used")
+
+    def __init__(self, lease, granted, seen):
+        self.lease = lease
+        self.granted = granted
+        self.returned = 0
+        self.used = 0
+        self.idle = 0
+        self.seen = seen
+        self.refused = False
+
+    @property
+    def slots(self):
+        """Slots that the holder may be using."""
+        return self.granted - self.returned
+
+
+class Table:
+    """The owner's table of one upstream's slots during one tenure.
+
+    Parameters
+    ----------
+    capacity : int
+        Slots that may be out at once.
+    epoch : int
+        Number of the tenure; higher than any earlier one.
+    settled_at : float
+        Time from which slots not claimed by earlier holders are free.
+    """
+
+    def __init__(self, upstream, capacity, epoch, settled_at):
+        self.upstream = upstream
+        self.capacity = capacity
+        self.epoch = epoch
+        self.settled_at = settled_at
+        self.entries = {}
+        self._leases = 0
+        self._recovered = 0
+
+    @property
+    def outstanding(self):
+        """Slots that holders may be using."""
+        return sum(entry.slots for entry in self.entries.values())
+
+    def get_free(self, now):
+        """Return slots that can be granted at ``now``.
+
+        Until the earlier tenure's leases have run out these are only the slots
+        that adopted holders have handed back since.
+        """
+        room = max(0, self.capacity - self.outstanding)
+        if now < self.settled_at:
+            return min(self._recovered, room)
+        return room
+
+    def merge_claim(self, holder, claim, now):
+        """Take in a claim; return an epoch above ours that it names, or None."""
+        if claim.epoch > self.epoch:
+            return claim.epoch
+        entry = self.entries.get(holder)
+        if claim.epoch < self.epoch:
+            if entry is None:
+                # Only while old leases may still run is an old claim adopted.
+                adopted = claim.held if now < self.settled_at else 0
+                entry = self.add_holder(holder, adopted, now)
+            entry.seen = now
+        elif entry is not None and entry.lease == claim.lease:
+            returned = max(entry.returned, min(claim.returned, entry.granted))
+            self._recovered += returned - entry.returned
+            entry.returned = returned
+            entry.used = claim.used
+            # A claim that misses a grant on its way says nothing of idleness.
+            up_to_date = claim.held == entry.slots
+            entry.idle = max(0, claim.held - claim.used) if up_to_date else 0
+            entry.seen = now
+        elif entry is None:
+            self.add_holder(holder, 0, now)
+        else:
+            entry.seen = now
+        self.entries[holder].refused = claim.refused
+        return None
+
+    def add_holder(self, holder, granted, now):
+        """Open a lease for ``holder``."""
+        self._leases += 1
+        entry = Entry(self._leases, granted, now)
+        self.entries[holder] = entry
+        return entry
+
+    def grant(self, holder, count, now):
+        """Grant ``count`` more slots; the caller has checked `get_free`."""
+        entry = self.entries.get(holder)
+        if entry is None:
+            entry = self.add_holder(holder, 0, now)
+        entry.granted += count
+        entry.idle = 0
+        self._recovered = max(0, self._recovered - count)
+
+    def get_grant(self, holder):
+        """Return the `Grant` that tells ``holder`` where it stands."""
+        entry = self.entries[holder]
+        return Grant(self.upstream, self.epoch, entry.lease, entry.granted)
+
+    def expire(self, now, lease_time):
+        """Take back the leases of holders not heard from; return their names."""
+        limit = now - lease_time - MARGIN
+        gone = [h for h, entry in self.entries.items() if entry.seen < limit]
+        for holder in gone:
+            del self.entries[holder]
+        return gone
+
+    def renew(self, epoch, settled_at):
+        """Start a new tenure above a rival's, adopting claims afresh."""
+        self.epoch = epoch
+        self.settled_at = settled_at
+        self.entries = {}
+        self._recovered = 0
--- /dev/null
+++ b/packages/valeweir_sharing/src/valeweir_sharing/queues.py
@@ -0,0 +1,93 @@
+"""Requests waiting for a slot, and which of them goes next."""
+
+import collections
+from typing import NamedTuple
+
+from valeweir.models import CLASS_PRIORITY
+
+from .accounts import Key
+
+
+class OrderSettings(NamedTuple):
+    """How classes weigh against fair shares.
+
+    ``bonus`` is how far, in mean requests, the most urgent class may run
+    ahead of its account's turn; ``aging`` is the time in seconds after which
+    any request has the full bonus.
+    """
+
+    bonus: float
+    aging: float
+
+
+class PoolQueue:
+    """Tickets waiting for one pool, by client account and class."""
+
+    def __init__(self):
+        self.accounts = {}
+        self.size = 0
+
+    def add(self, ticket):
+        """Queue a ticket in order of arrival."""
+        classes = self.accounts.setdefault(ticket.account, {})
+        classes.setdefault(ticket.work_class, collections.deque()).append(ticket)
+        self.size += 1
+
+    def add_first(self, ticket):
+        """Queue a ticket ahead of its class: it was dispatched before."""
+        classes = self.accounts.setdefault(ticket.account, {})
+        classes.setdefault(ticket.work_class, collections.deque()).appendleft(ticket)
+        self.size += 1
+
+    def remove(self, ticket):
+        """Take a ticket out; return False where it is not queued."""
+        classes = self.accounts.get(ticket.account, {})
+        queue = classes.get(ticket.work_class)
+        if not queue or ticket not in queue:
+            return False
+        queue.remove(ticket)
+        self._drop_empty(ticket, classes, queue)
+        return True
+
+    def _drop_empty(self, ticket, classes, queue):
+        self.size -= 1
+        if not queue:
+            del classes[ticket.work_class]
+        if not classes:
+            del self.accounts[ticket.account]
+
+
+def get_least_served(queue, ledger, pool):
+    """Return the least virtual service of the accounts in ``queue``, or None."""
+    if not queue.accounts:
+        return None
+    return min(ledger.get_virtual(Key(pool, a)) for a in queue.accounts)
+
+
+def pick_ticket(queue, ledger, pool, now, order):
+    """Return the ticket to dispatch next, or None; it stays queued.
+
+    The account with the least virtual service goes first, except that an
+    urgent or aged request counts as up to ``order.bonus`` mean requests
+    earlier. So the classes move the gap between accounts by a bounded amount,
+    and every request reaches the full bonus in time: none starves.
+    """
+    best = None
+    best_score = None
+    full = order.bonus * ledger.get_unit(pool)
+    for account, classes in queue.accounts.items():
+        virtual = ledger.get_virtual(Key(pool, account))
+        for work_class, tickets in classes.items():
+            head = tickets[0]
+            urgency = get_urgency(work_class, now - head.arrived, order.aging)
+            score = (virtual - full * urgency, head.arrived)
+            if best is None or score < best_score:
+                best, best_score = head, score
+    return best
+
+
+def get_urgency(work_class, age, aging):
+    """Return the share of the full bonus, 0 to 1, that a request has."""
+    steps = max(CLASS_PRIORITY.values())
+    by_class = 1.0 - CLASS_PRIORITY[work_class] / steps
+    return max(by_class, min(age / aging, 1.0))
--- /dev/null
+++ b/packages/valeweir_standins/src/valeweir_standins/experiments.py
@@ -0,0 +1,224 @@
+"""Experiments: a scenario run on a rig, and the figures that come of it."""
+
+import threading
+import time
+from typing import NamedTuple
+
+from .figures import count_promises, get_gap, get_utilisation
+from .loads import Load
+from .rigs import Rig
+from .scenarios import get_scenario
+
+_SAMPLE_SECONDS = 0.2
+_WARM_UP = 3.0
+
+
+class Setup(NamedTuple):
+    """What an experiment is run with."""
+
+    scenario: str
+    deployment: object
+    sharing: str
+    seconds: float
+    seed: int
+    overrides: dict
+    token_time: float = 0.01
+
+
+class Sampler:
+    """Reads the engines' busy time and the open requests, at intervals."""
+
+    def __init__(self, rig, load, names):
+        self._rig = rig
+        self._load = load
+        self._names = names
+        self._stopped = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+        self.samples = []
+
+    def start(self):
+        """Start sampling in a thread."""
+        self._thread.start()
+
+    def stop(self):
+        """End sampling."""
+        self._stopped.set()
+        self._thread.join()
+
+    def _run(self):
+        while not self._stopped.wait(_SAMPLE_SECONDS):
+            busy = 0.0
+            now = time.monotonic()
+            for name in self._names:
+                stats = self._rig.get_json(self._rig.upstreams[name].address, "/stats")
+                # Each engine counts up to its own reading time.
+                busy += stats["busy_time"] - stats["busy"] * (stats["at"] - now)
+            self.samples.append((now, busy, self._load.outstanding))
+
+
+def run_experiment(setup, on_progress=lambda done: None):
+    """Run a scenario; return its figures as a JSON-ready dict."""
+    scenario = get_scenario(setup.scenario)
+    deployment = setup.deployment
+    with Rig(deployment, setup.sharing, setup.overrides, setup.token_time) as rig:
+        workers = scenario.make_workers(rig, setup)
+        load = Load(deployment.model, deployment.service, workers)
+        engines = [u for u in deployment.upstreams if u.kind == "engine"]
+        sampler = Sampler(rig, load, [u.name for u in engines])
+        load.start()
+        begin = load.started + _WARM_UP
+        until = begin + setup.seconds
+        _wait_until(begin, load.started, until, on_progress)
+        before = _read_control(rig)
+        sampler.start()
+        chaos = threading.Thread(
+            target=scenario.disturb, args=(rig, begin, until, setup.seed), daemon=True
+        )
+        chaos.start()
+        _wait_until(until, load.started, until, on_progress)
+        after = _read_control(rig)
+        sampler.stop()
+        chaos.join(60.0)
+        load.stop()
+        result = _make_result(
+            setup, rig, load, sampler.samples, (begin, until), (before, after)
+        )
+        result["processes_left"] = 0
+    return result
+
+
+def _make_result(setup, rig, load, samples, window, control):
+    begin, until = window
+    deployment = setup.deployment
+    slots = sum(u.slots for u in deployment.upstreams if u.kind == "engine")
+    scenario = get_scenario(setup.scenario)
+    weights = {
+        a.name: a.weight for a in deployment.accounts if scenario.is_backlogged(a)
+    }
+    gap = get_gap(load.ends, weights, begin, until)
+    doubled, run_keys = _read_runs(rig, deployment)
+    promises = count_promises(load.ends, doubled, run_keys)
+    promises["starved"] = sum(1 for share in gap.shares.values() if share <= 0)
+    before, after = control
+    hosts = sorted(set(before) & set(after))
+    span = setup.seconds * max(1, len(hosts))
+    sent = _get_delta(before, after, hosts, 'control_bytes_total{direction="out"}')
+    received = _get_delta(before, after, hosts, 'control_bytes_total{direction="in"}')
+    cpu = _get_delta(before, after, hosts, "control_cpu_seconds_total")
+    kinds = {
+        kind: _get_delta(
+            before, after, hosts, f'control_messages_total{{kind="{kind}"}}'
+        )
+        for kind in ("Digest", "Ask", "Offer")
+    }
+    messages = sum(kinds.values())
+    done = [e for e in load.ends if begin <= e.ended < until and e.cost > 0]
+    return {
+        "fairness_gap_mean_requests": round(gap.largest, 2),
+        "utilisation_while_waiting": round(
+            get_utilisation(samples, slots, begin, until), 4
+        ),
+        "control_bytes_per_second_per_router": round(sent / span, 1),
+        "control_cpu_share": round(cpu / span, 5),
+        "promises": promises,
+        "fairness_gap_mean_over_time": round(gap.mean, 2),
+        "control_bytes_received_per_second_per_router": round(received / span, 1),
+        "control_messages_per_second_per_router": round(messages / span, 2),
+        "messages_per_second_per_router_by_kind": {
+            kind: round(count / span, 2) for kind, count in kinds.items()
+        },
+        "messages_per_request": round(messages / max(1, len(done)), 3),
+        "requests_per_second": round(len(done) / setup.seconds, 1),
+        "outcomes": _count_outcomes(load.ends),
+        "latency": _get_latency(load.ends, begin, until),
+        "service_per_share": {n: round(v, 1) for n, v in gap.shares.items()},
+        "scenario": setup.scenario,
+        "deployment": deployment.name,
+        "sharing": setup.sharing,
+        "routers": len(rig.routers),
+        "seconds": setup.seconds,
+        "seed": setup.seed,
+        "curve": _get_curve(load.ends, weights, load.started),
+    }
+
+
+def _wait_until(moment, started, until, on_progress):
+    while True:
+        left = moment - time.monotonic()
+        on_progress((time.monotonic() - started) / (until - started))
+        if left <= 0:
+            return
+        time.sleep(min(left, 0.5))
+
+
+def _read_control(rig):
+    figures = {}
+    for host, process in rig.routers.items():
+        if process.popen.poll() is None:
+            try:
+                figures[host] = rig.get_metrics(host)
+            except Exception:
+                # A frozen or freshly killed router has no figures to give.
+                continue
+    return figures
+
+
+def _get_delta(before, after, hosts, name):
+    key = f"valeweir_{name}"
+    deltas = (after[h].get(key, 0.0) - before[h].get(key, 0.0) for h in hosts)
+    return sum(max(0.0, d) for d in deltas)
+
+
+def _read_runs(rig, deployment):
+    doubled = 0
+    keys = set()
+    seen = {}
+    for place in deployment.upstreams:
+        if place.kind != "service":
+            continue
+        runs = rig.get_json(rig.upstreams[place.name].address, "/runs")
+        for key, count in runs.items():
+            seen[key] = seen.get(key, 0) + count
+    for key, count in seen.items():
+        keys.add(key)
+        doubled += count > 1
+    return doubled, keys
+
+
+def _count_outcomes(ends):
+    counts = {}
+    for end in ends:
+        name = f"{end.work_class}/{end.outcome}"
+        counts[name] = counts.get(name, 0) + 1
+    return dict(sorted(counts.items()))
+
+
+def _get_latency(ends, begin, until):
+    rows = {}
+    for end in ends:
+        if end.outcome == "complete" and begin <= end.ended < until:
+            rows.setdefault(end.work_class, []).append(end.ended - end.sent)
+    result = {}
+    for name, times in sorted(rows.items()):
+        times.sort()
+        result[name] = {
+            "p50": round(times[len(times) // 2], 3),
+            "p99": round(times[int(len(times) * 0.99)], 3),
+        }
+    return result
+
+
+def _get_curve(ends, weights, started, step=1.0):
+    """Return service per weight by account, summed, once a second."""
+    if not ends:
+        return {}
+    last = max(e.ended for e in ends) - started
+    curve = {}
+    for account, weight in weights.items():
+        bins = [0.0] * (int(last / step) + 1)
+        for end in ends:
+            if end.account == account:
+                bins[int((end.ended - started) / step)] += end.cost / weight
+        total = 0.0
+        curve[account] = [round(total := total + b, 1) for b in bins]
+    return curve
--- /dev/null
+++ b/packages/valeweir_standins/src/valeweir_standins/loads.py
@@ -0,0 +1,218 @@
+"""Seeded load: workers that call the fleet and check every answer."""
+
+import json
+import threading
+import time
+from typing import NamedTuple
+
+import numpy as np
+from urllib3.connection import HTTPConnection
+from urllib3.exceptions import HTTPError
+from valeweir.models import CLASS_HEADER, OUTCOME_HEADER, WorkClass
+
+from .rigs import get_account_key
+from .upstreams import make_text
+
+_TIMEOUT = 120.0
+_PAUSE_AFTER_REFUSAL = 0.05
+
+
+class End(NamedTuple):
+    """How one request of the load ended.
+
+    ``fault`` is empty, or one of ``lost``, ``crossed``, ``cut``; ``cost`` in
+    the router's units, 0 where there was no answer.
+    """
+
+    account: str
+    work_class: str
+    sent: float
+    ended: float
+    cost: float
+    outcome: str
+    fault: str
+    key: str = ""
+    status: int = 0
+    first_byte: float = 0.0
+
+
+class Mix(NamedTuple):
+    """What a worker sends: mean tokens, their spread, and the class."""
+
+    work_class: WorkClass
+    mean_tokens: float
+    sigma: float
+    stream: bool = False
+
+
+class Worker(NamedTuple):
+    """One closed loop: the next request goes out when the last has ended."""
+
+    account: str
+    address: str
+    mix: Mix
+    seed: int
+    starts: float = 0.0
+    ends: float = float("inf")
+    think: float = 0.0
+
+
+class Load:
+    """All workers of an experiment and what they saw."""
+
+    def __init__(self, model, service, workers, costs=(0.25, 1.0)):
+        self.model = model
+        self.service = service
+        self.workers = workers
+        self.costs = costs
+        self.ends = []
+        self.outstanding = 0
+        self.hungry = {}
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._threads = []
+        self.started = 0.0
+
+    def start(self):
+        """Start every worker."""
+        self.started = time.monotonic()
+        for worker in self.workers:
+            thread = threading.Thread(target=self._run, args=(worker,), daemon=True)
+            self._threads.append(thread)
+            thread.start()
+
+    def stop(self):
+        """Let every worker finish its request."""
+        self._stopped.set()
+        for thread in self._threads:
+            thread.join(_TIMEOUT)
+
+    def halt(self):
+        """Tell workers to send nothing more, without waiting."""
+        self._stopped.set()
+
+    def _run(self, worker):
+        rng = np.random.default_rng(worker.seed)
+        conn = _connect(worker.address)
+        number = 0
+        delay = worker.starts
+        if delay and self._stopped.wait(delay):
+            return
+        while not self._stopped.is_set():
+            if time.monotonic() - self.started > worker.ends:
+                return
+            number += 1
+            call = self._prepare(worker, rng, number)
+            with self._lock:
+                self.outstanding += 1
+            end, conn = self._send(worker, call, conn)
+            with self._lock:
+                self.outstanding -= 1
+                self.ends.append(end)
+            if end.outcome != "complete" or end.status != 200:
+                self._stopped.wait(_PAUSE_AFTER_REFUSAL)
+            if worker.think:
+                self._stopped.wait(worker.think)
+        conn.close()
+
+    def _prepare(self, worker, rng, number):
+        mu = np.log(worker.mix.mean_tokens) - worker.mix.sigma**2 / 2
+        tokens = max(1, int(rng.lognormal(mu, worker.mix.sigma)))
+        text = f"{worker.account} {worker.seed} {number} " + "x" * 40
+        headers = {
+            "Authorization": f"Bearer {get_account_key(worker.account)}",
+            CLASS_HEADER: worker.mix.work_class.value,
+            "Content-Type": "application/json",
+        }
+        if worker.mix.work_class is WorkClass.BOOKING and self.service:
+            key = f"{worker.account}-{worker.seed}-{number}"
+            headers["Idempotency-Key"] = key
+            path = f"/services/{self.service}/hold/{number}"
+            return _Call("POST", path, headers, text.encode(), key, None)
+        body = {
+            "model": self.model,
+            "messages": [{"role": "user", "content": text}],
+            "max_tokens": tokens,
+            "stream": worker.mix.stream,
+        }
+        data = json.dumps(body).encode()
+        expected = make_text(text, tokens)
+        return _Call("POST", "/v1/chat/completions", headers, data, "", expected)
+
+    def _send(self, worker, call, conn):
+        sent = time.monotonic()
+        outcome, fault, cost, status, first = "unknown", "", 0.0, 0, 0.0
+        try:
+            conn.request(call.method, call.path, body=call.body, headers=call.headers)
+            resp = conn.getresponse()
+            first = time.monotonic()
+            body = resp.data
+            status = resp.status
+            default = "complete" if worker.mix.stream and status == 200 else "unknown"
+            outcome = resp.headers.get(OUTCOME_HEADER, default)
+            if status == 200:
+                fault, cost = self._check(worker, call, body)
+        except (OSError, HTTPError):
+            # A closed connection counts as an answer that is visibly cut.
+            fault = "cut"
+            conn.close()
+            conn = _connect(worker.address)
+        end = End(
+            worker.account,
+            worker.mix.work_class.value,
+            sent,
+            time.monotonic(),
+            cost,
+            outcome,
+            fault,
+            call.key,
+            status,
+            first - sent if first else 0.0,
+        )
+        return end, conn
+
+    def _check(self, worker, call, body):
+        """Return ``(fault, cost)`` after a byte-for-byte look at the answer."""
+        try:
+            if call.expected is None:
+                return ("" if json.loads(body)["key"] == call.key else "crossed"), 0.0
+            if worker.mix.stream:
+                text, usage = _join_stream(body)
+            else:
+                answer = json.loads(body)
+                text = answer["choices"][0]["message"]["content"]
+                usage = answer["usage"]
+        except (ValueError, KeyError, IndexError, TypeError):
+            return "cut", 0.0
+        cost = usage["prompt_tokens"] * self.costs[0]
+        cost += usage["completion_tokens"] * self.costs[1]
+        return ("" if text == call.expected else "crossed"), cost
+
+
+class _Call(NamedTuple):
+    method: str
+    path: str
+    headers: dict
+    body: bytes
+    key: str
+    expected: str | None
+
+
+def _connect(address):
+    host, _, port = address.rpartition(":")
+    return HTTPConnection(host, int(port), timeout=_TIMEOUT)
+
+
+def _join_stream(body):
+    parts = []
+    usage = None
+    blocks = body.decode().split("\n\n")
+    if "data: [DONE]" not in blocks:
+        raise ValueError("no end mark")
+    for block in blocks:
+        if not block.startswith("data: {"):
+            continue
+        event = json.loads(block[6:])
+        usage = event.get("usage") or usage
+        parts += [c["delta"]["content"] for c in event["choices"]]
+    return "".join(parts).removesuffix(" "), usage
--- /dev/null
+++ b/packages/valeweir_standins/src/valeweir_standins/platform.py
@@ -0,0 +1,106 @@
+"""Stand-ins of the platform: the append-only log and the membership list."""
+
+import threading
+import time
+
+import msgspec
+from valeweir.servers import create_server
+
+from .faults import FaultSwitch
+
+
+def create_log(address, keep=100_000, seed=0):
+    """Return a server that stands in for the log service.
+
+    ``POST /append`` answers ``{"offset": N}``; ``GET /records?from=N`` answers
+    ``{"first", "next", "records": [[offset, body], ...]}``; ``POST /expire``
+    with ``{"before": N}`` drops old records.
+    """
+    records = []
+    lock = threading.Lock()
+    switch = FaultSwitch(seed)
+    counts = {"appends": 0, "reads": 0}
+    first = [0]
+
+    def handle(request, reply):
+        if request.path == "/faults":
+            switch.serve(request, reply)
+            return
+        if request.path == "/stats":
+            reply.send_json(200, {**counts, "next": first[0] + len(records)})
+            return
+        if request.path == "/expire":
+            with lock:
+                _expire(msgspec.json.decode(request.body)["before"])
+            reply.send_json(200, {"first": first[0]})
+            return
+        time.sleep(switch.faults.late)
+        if switch.faults.outage:
+            reply.send_json(503, {"error": "the log is down"})
+        elif request.path == "/append" and request.method == "POST":
+            _append(request, reply)
+        elif request.path == "/records":
+            _read(request, reply)
+        else:
+            reply.send_json(404, {"error": "append or records"})
+
+    def _append(request, reply):
+        body = msgspec.json.decode(request.body)
+        with lock:
+            counts["appends"] += 1
+            records.append(body)
+            offset = first[0] + len(records) - 1
+            _expire(first[0] + len(records) - keep)
+        if switch.faults.lose_answer > 0:
+            switch.faults.lose_answer -= 1
+            reply.drop()
+            return
+        reply.send_json(200, {"offset": offset})
+
+    def _read(request, reply):
+        start = int(request.query.get("from", "0"))
+        with lock:
+            counts["reads"] += 1
+            begin = max(start - first[0], 0)
+            rows = [
+                (first[0] + begin + n, body)
+                for n, body in enumerate(records[begin : begin + 500])
+            ]
+            end = first[0] + len(records)
+            oldest = first[0]
+        reply.send_json(200, (oldest, end, rows))
+
+    def _expire(before):
+        count = max(0, before - first[0])
+        del records[:count]
+        first[0] += count
+
+    return create_server(address, handle, threads=64)
+
+
+def create_membership(address, hosts, seed=0):
+    """Return a server that stands in for the membership list.
+
+    ``GET /hosts`` answers rows ``[host, domain, role, address, state]``; ``PUT
+    /hosts`` replaces them, seen after ``lag`` seconds.
+    """
+    switch = FaultSwitch(seed)
+    versions = [(0.0, list(hosts))]
+
+    def handle(request, reply):
+        if request.path == "/faults":
+            switch.serve(request, reply)
+            return
+        if request.method == "PUT":
+            versions.append((time.monotonic(), msgspec.json.decode(request.body)))
+            reply.send_json(200, versions[-1][1])
+            return
+        time.sleep(switch.faults.late)
+        if switch.faults.outage:
+            reply.send_json(503, {"error": "the membership list is down"})
+            return
+        seen_by = time.monotonic() - switch.faults.lag
+        known = [rows for at, rows in versions if at <= seen_by]
+        reply.send_json(200, known[-1] if known else [])
+
+    return create_server(address, handle, threads=32)
--- /dev/null
+++ b/packages/valeweir_standins/src/valeweir_standins/rigs.py
@@ -0,0 +1,297 @@
+"""A whole fleet as plain processes on loopback, for demos and experiments."""
+
+import contextlib
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+
+import msgspec
+import urllib3
+from valeweir.resources import Change
+
+ROOT_KEY = "rig-root-key"
+_READY_SECONDS = 30.0
+_STOP_SECONDS = 20.0
+
+
+def get_account_key(account):
+    """Return the bearer key of a rig's account."""
+    return f"key-of-{account}"
+
+
+def get_free_ports(count):
+    """Return ports that nothing listens on just now."""
+    with contextlib.ExitStack() as stack:
+        ports = []
+        for _ in range(count):
+            sock = stack.enter_context(socket.socket())
+            sock.bind(("127.0.0.1", 0))
+            ports.append(sock.getsockname()[1])
+    return ports
+
+
+class Process:
+    """A started process and where it listens."""
+
+    def __init__(self, name, popen, address):
+        self.name = name
+        self.popen = popen
+        self.address = address
+
+    def send_signal(self, number):
+        """Send a signal, if it still runs."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+
+class Rig:
+    """Stand-ins and routers of a `Deployment`, started and ended together.
+
+    Parameters
+    ----------
+    sharing : str
+        ``leases``, ``static`` or ``oracle``; the last is a single router.
+    overrides : dict
+        Settings by section that replace the defaults.
+    """
+
+    def __init__(self, deployment, sharing="leases", overrides=None, token_time=0.01):
+        self.deployment = deployment
+        self.sharing = sharing
+        self.overrides = overrides or {}
+        self.token_time = token_time
+        self.http = urllib3.PoolManager(num_pools=200, maxsize=8, retries=False)
+        self.upstreams = {}
+        self.routers = {}
+        self.admins = {}
+        self.log = None
+        self.membership = None
+        self._folder = None
+        self._settings = {}
+
+    def __enter__(self):
+        self._folder = tempfile.TemporaryDirectory(prefix="valeweir-")
+        try:
+            self._start()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *_exc):
+        self.close()
+
+    @property
+    def folder(self):
+        """Where settings and logs are."""
+        return Path(self._folder.name)
+
+    def close(self):
+        """End every process that was started here."""
+        everything = [*self.routers.values(), *self.upstreams.values()]
+        everything += [p for p in (self.log, self.membership) if p is not None]
+        for process in everything:
+            process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGKILL)
+        for process in everything:
+            process.popen.wait()
+        self._folder.cleanup()
+
+    # -- single processes --------------------------------------------------
+
+    def start_router(self, host):
+        """Start, or start again, one router."""
+        path = self._settings[host]
+        command = [sys.executable, "-m", "valeweir_router.main", str(path)]
+        with open(self.folder / f"{host}.log", "ab") as out:
+            popen = subprocess.Popen(command, stdout=out, stderr=out)
+        address = json.loads(path.read_text())["callers"]["address"]
+        self.routers[host] = Process(host, popen, address)
+
+    def start_upstream(self, name):
+        """Start, or start again, one upstream, at its address."""
+        place = next(u for u in self.deployment.upstreams if u.name == name)
+        address = self.upstreams[name].address
+        self.upstreams[name] = self._start_standin(
+            place.name, self._args_of(place), address
+        )
+
+    def wait_ready(self, hosts=None):
+        """Wait until routers say that they are ready."""
+        deadline = time.monotonic() + _READY_SECONDS
+        for host in hosts or list(self.routers):
+            while not self._is_ready(host):
+                if time.monotonic() > deadline:
+                    raise TimeoutError(f"{host} is not ready, see {self.folder}")
+                time.sleep(0.05)
+
+    def wait_shared(self):
+        """Wait until every owner may lease its slots out."""
+        deadline = time.monotonic() + _READY_SECONDS
+        wanted = len(self.deployment.upstreams)
+        while time.monotonic() < deadline:
+            rows = [r for h in self.routers for r in self.get_fleet(h)["upstreams"]]
+            settled = {r["name"] for r in rows if r["settled"]}
+            if len(settled) == wanted or self.sharing == "static":
+                return
+            time.sleep(0.2)
+
+    # -- questions -----------------------------------------------------------
+
+    def get_json(self, address, path):
+        """Return the decoded answer of a GET."""
+        headers = {"Authorization": f"Bearer {ROOT_KEY}"}
+        resp = self.http.request(
+            "GET", f"http://{address}{path}", headers=headers, timeout=5.0
+        )
+        return msgspec.json.decode(resp.data)
+
+    def get_fleet(self, host):
+        """Return one router's view of the fleet."""
+        return self.get_json(self.admins[host], "/v1/fleet")
+
+    def get_metrics(self, host):
+        """Return {sample with labels: value} of one router."""
+        url = f"http://{self.admins[host]}/metrics"
+        text = self.http.request("GET", url, timeout=5.0).data.decode()
+        pairs = (ln.rpartition(" ") for ln in text.splitlines() if ln[:1] != "#")
+        return {name: float(value) for name, _, value in pairs}
+
+    def set_faults(self, process, **faults):
+        """Switch the faults of a stand-in."""
+        url = f"http://{process.address}/faults"
+        self.http.request("PUT", url, body=json.dumps(faults))
+
+    def append(self, kind, name, spec, base=0):
+        """Put a change on the log directly."""
+        change = Change(
+            id=os.urandom(8).hex(), kind=kind, name=name, base=base, spec=spec
+        )
+        body = msgspec.json.encode({"change": change})
+        self.http.request("POST", f"http://{self.log.address}/append", body=body)
+
+    # -- start ---------------------------------------------------------------
+
+    def _start(self):
+        places = self._get_router_places()
+        ports = iter(
+            get_free_ports(3 * len(places) + len(self.deployment.upstreams) + 2)
+        )
+
+        def take():
+            return f"127.0.0.1:{next(ports)}"
+
+        self.log = self._start_standin("log", ["log"], take())
+        self.membership = self._start_standin("membership", ["membership"], take())
+        for place in self.deployment.upstreams:
+            args = self._args_of(place)
+            self.upstreams[place.name] = self._start_standin(place.name, args, take())
+        for process in (self.log, self.membership, *self.upstreams.values()):
+            _wait_listening(process)
+        self._declare()
+        fleet = {p.host: take() for p in places}
+        self._publish_members(places, fleet)
+        seeds = [
+            {"host": p.host, "domain": p.domain, "address": fleet[p.host]}
+            for p in places
+        ]
+        for place in places:
+            self._write_settings(place, seeds, fleet[place.host], take(), take())
+            self.start_router(place.host)
+        self.wait_ready()
+        self.wait_shared()
+
+    def _get_router_places(self):
+        routers = self.deployment.routers
+        return routers[:1] if self.sharing == "oracle" else routers
+
+    def _args_of(self, place):
+        args = [place.kind, "--slots", str(place.slots)]
+        if place.kind == "engine":
+            args += ["--model", place.pool, "--token-time", str(self.token_time)]
+        return args
+
+    def _start_standin(self, name, args, address):
+        command = [sys.executable, "-m", "valeweir_cli.main", "standin", *args]
+        with open(self.folder / f"{name}.log", "ab") as out:
+            popen = subprocess.Popen(
+                [*command, "--address", address], stdout=out, stderr=out
+            )
+        return Process(name, popen, address)
+
+    def _declare(self):
+        partner = self.deployment.partner
+        self.append("partners", partner, {"keys": []})
+        for place in self.deployment.upstreams:
+            spec = {
+                "partner": partner,
+                "pool": place.pool,
+                "kind": place.kind,
+                "domain": place.domain,
+                "address": self.upstreams[place.name].address,
+                "slots": place.slots,
+            }
+            self.append("upstreams", place.name, spec)
+        for account in self.deployment.accounts:
+            key_hash = hashlib.sha256(
+                get_account_key(account.name).encode()
+            ).hexdigest()
+            spec = {"partner": partner, "key_hashes": [key_hash]}
+            self.append("client-accounts", account.name, spec)
+            spec = {"account": account.name, "weight": account.weight}
+            self.append("shares", account.name, spec)
+
+    def _publish_members(self, places, fleet):
+        rows = [[p.host, p.domain, "router", fleet[p.host], "live"] for p in places]
+        url = f"http://{self.membership.address}/hosts"
+        self.http.request("PUT", url, body=json.dumps(rows))
+
+    def _write_settings(self, place, seeds, fleet, callers, admin):
+        mode = "static" if self.sharing == "static" else "leases"
+        cfg = {
+            "host": place.host,
+            "domain": place.domain,
+            "callers": {"address": callers},
+            "admin": {
+                "address": admin,
+                "operator_key_sha256": hashlib.sha256(ROOT_KEY.encode()).hexdigest(),
+            },
+            "fleet": {"address": fleet, "seeds": seeds},
+            "platform": {
+                "log": f"http://{self.log.address}",
+                "membership": f"http://{self.membership.address}",
+            },
+            "sharing": {"mode": mode},
+            "stop": {"balancer_wait": 0.5},
+        }
+        for section, values in self.overrides.items():
+            cfg.setdefault(section, {}).update(values)
+        path = self.folder / f"{place.host}.json"
+        path.write_text(json.dumps(cfg, indent=2))
+        self._settings[place.host] = path
+        self.admins[place.host] = admin
+
+    def _is_ready(self, host):
+        try:
+            url = f"http://{self.admins[host]}/readyz"
+            return self.http.request("GET", url, timeout=2.0).status == 200
+        except urllib3.exceptions.HTTPError:
+            return False
+
+
+def _wait_listening(process):
+    host, _, port = process.address.rpartition(":")
+    deadline = time.monotonic() + _READY_SECONDS
+    while time.monotonic() < deadline:
+        with contextlib.suppress(OSError):
+            socket.create_connection((host, int(port)), timeout=1.0).close()
+            return
+        time.sleep(0.02)
+    raise TimeoutError(f"{process.name} does not listen")
--- /dev/null
+++ b/packages/valeweir_standins/src/valeweir_standins/upstreams.py
@@ -0,0 +1,234 @@
+"""Stand-ins of a model engine and of a plain service."""
+
+import threading
+import time
+
+import msgspec
+import xxhash
+from valeweir.servers import create_server
+
+from .faults import FaultSwitch
+
+_WORDS = ("berth", "gate", "seat", "lock", "tide", "crane", "rail", "coach")
+
+
+class ChatBody(msgspec.Struct):
+    """What the engine reads of a model call."""
+
+    model: str
+    messages: list[dict] = []
+    prompt: str = ""
+    max_tokens: int = 16
+    stream: bool = False
+
+
+class Work:
+    """Slots of a stand-in, and what it has done.
+
+    ``runs`` counts every run by idempotency key or request id; ``busy_time``
+    sums the time of all slots in use.
+    """
+
+    def __init__(self, slots):
+        self.slots = slots
+        self.runs = {}
+        self.done = 0
+        self.cancelled = 0
+        self._busy = 0
+        self._busy_time = 0.0
+        self._since = time.monotonic()
+        self._lock = threading.Lock()
+        self._free = threading.Semaphore(slots)
+        self.most_queued = 0
+        self._queued = 0
+
+    def begin(self, key):
+        """Wait for a slot and count the run."""
+        with self._lock:
+            self._queued += 1
+            self.most_queued = max(self.most_queued, self._queued)
+        self._free.acquire()
+        with self._lock:
+            self._queued -= 1
+            self._turn(1)
+            if key:
+                self.runs[key] = self.runs.get(key, 0) + 1
+
+    def end(self, cancelled):
+        """Free the slot."""
+        with self._lock:
+            self._turn(-1)
+            self.done += 1
+            self.cancelled += cancelled
+        self._free.release()
+
+    def get_stats(self):
+        """Return the figures that the runner reads."""
+        with self._lock:
+            self._turn(0)
+            return {
+                "slots": self.slots,
+                "busy": self._busy,
+                "busy_time": self._busy_time,
+                "at": self._since,
+                "done": self.done,
+                "cancelled": self.cancelled,
+                "most_queued": self.most_queued,
+                "doubled": sum(1 for n in self.runs.values() if n > 1),
+                "runs": len(self.runs),
+            }
+
+    def _turn(self, delta):
+        now = time.monotonic()
+        self._busy_time += self._busy * (now - self._since)
+        self._since = now
+        self._busy += delta
+
+
+def make_text(seed_text, tokens):
+    """Return the answer that belongs to a prompt: the same words each time."""
+    state = xxhash.xxh64_intdigest(seed_text.encode())
+    words = []
+    for number in range(tokens):
+        words.append(_WORDS[(state >> (number % 48)) % len(_WORDS)])
+    return f"{state:016x} " + " ".join(words)
+
+
+def create_engine(address, model, slots, token_time, prompt_time, seed=0):
+    """Return a server that stands in for a model engine.
+
+    Parameters
+    ----------
+    token_time, prompt_time : float
+        Seconds per output token and per prompt character.
+    """
+    work = Work(slots)
+    switch = FaultSwitch(seed)
+    last_answer = {}
+
+    def handle(request, reply):
+        if request.path == "/faults":
+            switch.serve(request, reply)
+        elif request.path == "/stats":
+            reply.send_json(200, work.get_stats())
+        elif request.path == "/runs":
+            reply.send_json(200, work.runs)
+        elif switch.faults.outage or switch.happens(switch.faults.refuse):
+            reply.send_json(503, {"error": {"message": "engine is not available"}})
+        else:
+            _serve_chat(request, reply)
+
+    def _serve_chat(request, reply):
+        body = msgspec.json.decode(request.body, type=ChatBody)
+        prompt = body.prompt or str(body.messages[-1].get("content", ""))
+        text = make_text(prompt, body.max_tokens)
+        request_id = request.headers.get("X-Request-Id", "")
+        if switch.happens(switch.faults.crossed) and last_answer:
+            request_id, text = last_answer["id"], last_answer["text"]
+        last_answer.update(id=request_id, text=text)
+        work.begin(request_id)
+        cancelled = False
+        try:
+            time.sleep(switch.faults.late + prompt_time * len(prompt))
+            usage = {
+                "prompt_tokens": max(1, len(prompt) // 4),
+                "completion_tokens": body.max_tokens,
+            }
+            if body.stream:
+                cancelled = _send_stream(reply, text, usage, request_id)
+            else:
+                cancelled = _sleep_watching(reply, token_time * body.max_tokens)
+                if not cancelled:
+                    _send_unary(reply, text, usage, request_id)
+        except OSError:
+            cancelled = True
+        finally:
+            work.end(cancelled)
+
+    def _send_unary(reply, text, usage, request_id):
+        if switch.happens(switch.faults.drop):
+            reply.drop()
+            return
+        choice = {"index": 0, "message": {"role": "assistant", "content": text}}
+        body = {"object": "chat.completion", "model": model}
+        body |= {"choices": [choice], "usage": usage}
+        data = msgspec.json.encode(body)
+        headers = [("Content-Type", "application/json"), ("X-Request-Id", request_id)]
+        if switch.happens(switch.faults.cut):
+            reply.start_stream(200, headers)
+            reply.write(data[: len(data) // 2])
+            reply.cut()
+            return
+        reply.send(200, headers, data)
+
+    def _send_stream(reply, text, usage, request_id):
+        headers = [("Content-Type", "text/event-stream"), ("X-Request-Id", request_id)]
+        reply.start_stream(200, headers)
+        words = text.split(" ")
+        stop_at = len(words) // 2 if switch.happens(switch.faults.cut) else -1
+        for number, word in enumerate(words):
+            if number == stop_at:
+                reply.cut()
+                return False
+            delta = {"index": 0, "delta": {"content": word + " "}}
+            reply.write(_make_event({"choices": [delta]}))
+            time.sleep(token_time)
+        reply.write(_make_event({"choices": [], "usage": usage}))
+        reply.write(b"data: [DONE]\n\n")
+        return False
+
+    return create_server(address, handle, threads=512)
+
+
+def create_service(address, slots, call_time, seed=0):
+    """Return a server that stands in for a plain service.
+
+    It answers each call with the call's key, and counts the runs of each key.
+    """
+    work = Work(slots)
+    switch = FaultSwitch(seed)
+
+    def handle(request, reply):
+        if request.path == "/faults":
+            switch.serve(request, reply)
+        elif request.path == "/stats":
+            reply.send_json(200, work.get_stats())
+        elif request.path == "/runs":
+            reply.send_json(200, work.runs)
+        elif switch.faults.outage or switch.happens(switch.faults.refuse):
+            reply.send_json(503, {"error": "service is not available"})
+        else:
+            _serve_call(request, reply)
+
+    def _serve_call(request, reply):
+        key = request.headers.get("Idempotency-Key", "")
+        request_id = request.headers.get("X-Request-Id", "")
+        work.begin(key or request_id)
+        try:
+            time.sleep(call_time + switch.faults.late)
+            if switch.happens(switch.faults.drop):
+                reply.drop()
+                return
+            answer = {"key": key, "path": request.target, "echo": len(request.body)}
+            headers = [("X-Request-Id", request_id)]
+            reply.send_json(200, answer, headers)
+        finally:
+            work.end(False)
+
+    return create_server(address, handle, threads=512)
+
+
+def _sleep_watching(reply, seconds):
+    """Sleep, but stop where the client closes; return whether it did."""
+    deadline = time.monotonic() + seconds
+    while True:
+        left = deadline - time.monotonic()
+        if left <= 0:
+            return False
+        time.sleep(min(left, 0.25))
+        if left > 0.25 and reply.is_gone():
+            return True
+
+
+def _make_event(value):
+    return b"data: " + msgspec.json.encode(value) + b"\n\n"
--- /dev/null
+++ b/packages/valeweir_upstreams/src/valeweir_upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Peer: model engines and plain services, over HTTP."""
--- /dev/null
+++ b/packages/valeweir_upstreams/src/valeweir_upstreams/connections.py
@@ -0,0 +1,61 @@
+"""Kept connections to upstreams.
+
+urllib3's connection class is used without its pools: whether a failure came
+before or after the first byte of a request decides what the caller is told,
+and a pool with hidden reconnects would blur that.
+"""
+
+import threading
+
+from urllib3.connection import HTTPConnection, HTTPSConnection
+
+_CONNECT_TIMEOUT = 2.0
+_KEEP = 64
+
+
+class Connections:
+    """Idle connections by address, last used first."""
+
+    def __init__(self, ssl_context=None):
+        self._ssl_context = ssl_context
+        self._idle = {}
+        self._lock = threading.Lock()
+
+    def take_idle(self, address):
+        """Return a kept connection that looks alive, or None."""
+        with self._lock:
+            idle = self._idle.get(address, [])
+            while idle:
+                conn = idle.pop()
+                if conn.is_connected:
+                    return conn
+                conn.close()
+        return None
+
+    def connect(self, address):
+        """Return a new connection; raises OSError or HTTPError where refused."""
+        host, _, port = address.rpartition(":")
+        if self._ssl_context is not None:
+            conn = HTTPSConnection(
+                host, int(port), timeout=_CONNECT_TIMEOUT, ssl_context=self._ssl_context
+            )
+        else:
+            conn = HTTPConnection(host, int(port), timeout=_CONNECT_TIMEOUT)
+        conn.connect()
+        return conn
+
+    def keep(self, address, conn):
+        """Keep a connection whose last exchange ended exactly as it should."""
+        with self._lock:
+            idle = self._idle.setdefault(address, [])
+            if len(idle) < _KEEP:
+                idle.append(conn)
+                return
+        conn.close()
+
+    def drop(self, address):
+        """Close what is kept for an upstream that is gone."""
+        with self._lock:
+            idle = self._idle.pop(address, [])
+        for conn in idle:
+            conn.close()
--- /dev/null
+++ b/packages/valeweir_upstreams/src/valeweir_upstreams/exchanges.py
@@ -0,0 +1,214 @@
+"""One request sent to an upstream, and its answer read to the end."""
+
+import select
+import time
+from enum import StrEnum
+from typing import NamedTuple
+
+from urllib3.exceptions import HTTPError
+from valeweir.models import REQUEST_ID_HEADER
+
+_POLL_SECONDS = 1.0
+_READ_SIZE = 64 << 10
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+
+
+class Fault(StrEnum):
+    """How an exchange failed.
+
+    ``NOT_SENT``: no byte of the request left. ``LAPSED``: the same, since the
+    lease ran out before. ``AMBIGUOUS``: some did, and no
+    whole answer came. ``CUT``: the answer had begun. ``CROSSED``: the answer
+    names another request. ``GONE``: the caller hung up. ``LATE``: the deadline
+    passed.
+    """
+
+    NOT_SENT = "not-sent"
+    LAPSED = "lapsed"
+    AMBIGUOUS = "ambiguous"
+    CUT = "cut"
+    CROSSED = "crossed"
+    GONE = "gone"
+    LATE = "late"
+
+
+class Failure(NamedTuple):
+    """An exchange that gave no whole answer."""
+
+    fault: Fault
+    text: str
+
+
+class Call(NamedTuple):
+    """What to send. ``deadline`` is on the monotonic clock."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    deadline: float
+
+
+class Head(NamedTuple):
+    """Status and end-to-end headers of an answer."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    is_stream: bool
+
+
+class Exchange:
+    """A request on its way; closes its connection unless it ends cleanly."""
+
+    def __init__(self, connections, address, conn):
+        self._connections = connections
+        self._address = address
+        self._conn = conn
+        self._resp = None
+
+    def send(self, call):
+        """Send the request; return None or a `Failure`."""
+        self._conn.timeout = max(0.05, call.deadline - time.monotonic())
+        if self._conn.sock is not None:
+            self._conn.sock.settimeout(self._conn.timeout)
+        try:
+            self._conn.request(
+                call.method,
+                call.target,
+                body=call.body if call.body else None,
+                headers=call.headers,
+                preload_content=False,
+                decode_content=False,
+            )
+        except (OSError, HTTPError) as exc:
+            return self._fail(Fault.AMBIGUOUS, exc)
+        return None
+
+    def wait(self, call, is_gone):
+        """Wait for the answer to begin, watching the caller meanwhile.
+
+        Returns
+        -------
+        None or Failure
+        """
+        poller = select.poll()
+        poller.register(self._conn.sock, select.POLLIN)
+        while True:
+            left = call.deadline - time.monotonic()
+            if left <= 0:
+                return self._fail(Fault.LATE, "deadline passed")
+            if poller.poll(min(left, _POLL_SECONDS) * 1000):
+                return None
+            if is_gone():
+                return self._fail(Fault.GONE, "caller hung up")
+
+    def read_head(self, call):
+        """Return the answer's `Head` or a `Failure`."""
+        try:
+            self._resp = self._conn.getresponse()
+        except (OSError, HTTPError) as exc:
+            return self._fail(Fault.AMBIGUOUS, exc)
+        headers = list(self._resp.headers.items())
+        for name, value in headers:
+            if name.lower() == REQUEST_ID_HEADER.lower() and value != call.request_id:
+                return self._fail(Fault.CROSSED, f"answer to {value}")
+        kept = [(n, v) for n, v in headers if n.lower() not in _HOP_BY_HOP]
+        kind = self._resp.headers.get("Content-Type", "")
+        return Head(self._resp.status, kept, kind.startswith("text/event-stream"))
+
+    def read_whole(self, limit):
+        """Return the body as bytes, or a `Failure` where it is not whole."""
+        if not self._is_delimited():
+            return self._fail(Fault.CUT, "answer has neither length nor chunks")
+        parts = []
+        size = 0
+        for part in self.read_parts():
+            if isinstance(part, Failure):
+                return part
+            size += len(part)
+            if size > limit:
+                return self._fail(Fault.CUT, "answer too large")
+            parts.append(part)
+        return b"".join(parts)
+
+    def read_parts(self):
+        """Yield the body as it comes; a last `Failure` where it is cut."""
+        try:
+            while True:
+                part = self._resp.read1(_READ_SIZE)
+                if not part:
+                    break
+                yield part
+        except (OSError, HTTPError, ValueError) as exc:
+            yield self._fail(Fault.CUT, exc)
+            return
+        if getattr(self._resp, "length_remaining", None):
+            yield self._fail(Fault.CUT, "answer shorter than its length")
+            return
+        self._end()
+
+    def close(self):
+        """Give the exchange up; the upstream sees its connection close."""
+        if self._conn is not None:
+            self._conn.close()
+            self._conn = None
+
+    def _is_delimited(self):
+        headers = self._resp.headers
+        chunked = "chunked" in headers.get("Transfer-Encoding", "").lower()
+        bodiless = self._resp.status in (204, 304)
+        return chunked or bodiless or "Content-Length" in headers
+
+    def _end(self):
+        if self._conn is None:
+            return
+        closing = self._resp.headers.get("Connection", "").lower() == "close"
+        if closing or not self._is_delimited():
+            self.close()
+            return
+        self._connections.keep(self._address, self._conn)
+        self._conn = None
+
+    def _fail(self, fault, why):
+        self.close()
+        return Failure(fault, str(why))
+
+
+def open_exchange(connections, address, fresh):
+    """Return an `Exchange`, or a `Failure` where no connection can be had.
+
+    Parameters
+    ----------
+    fresh : bool
+        Never use a kept connection. One that the upstream has closed in the
+        meantime fails only after bytes were sent, which leaves it unknown
+        whether the request ran.
+    """
+    conn = None if fresh else connections.take_idle(address)
+    if conn is None:
+        try:
+            conn = connections.connect(address)
+        except (OSError, HTTPError) as exc:
+            return Failure(Fault.NOT_SENT, str(exc))
+    return Exchange(connections, address, conn)
+
+
+def prepare_headers(headers, request_id, priority):
+    """Return the headers to send: end-to-end ones of the caller, and ours."""
+    skipped = _HOP_BY_HOP | {"host", "content-length", "authorization", "expect"}
+    sent = {n: v for n, v in headers.items() if n.lower() not in skipped}
+    sent[REQUEST_ID_HEADER] = request_id
+    sent["X-Priority"] = str(priority)
+    return sent
