--- a/packages/valeweir/src/valeweir/settings.py
+++ b/packages/valeweir/src/valeweir/settings.py
@@ -156,7 +156,7 @@
     "platform": {"poll": 1.0, "timeout": 3.0},
     "sharing": {
         "mode": "leases",
-        "slack": 1.0,
+        "slack": 4.0,
         "class_bonus": 2.0,
         "aging": 20.0,
         "clamp": 40.0,
--- a/packages/valeweir_cli/src/valeweir_cli/bench.py
+++ b/packages/valeweir_cli/src/valeweir_cli/bench.py
@@ -82,7 +82,9 @@
 
 
 def _run_with_bar(setup):
-    with tqdm(total=100, unit="%", leave=False, disable=None, desc=setup.sharing) as bar:
+    with tqdm(
+        total=100, unit="%", leave=False, disable=None, desc=setup.sharing
+    ) as bar:
 
         def on_progress(done):
             bar.update(min(100, int(done * 100)) - bar.n)
--- a/packages/valeweir_fleet/src/valeweir_fleet/peers.py
+++ b/packages/valeweir_fleet/src/valeweir_fleet/peers.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+_REMEMBERED = 5000
+
 
 class Peer:
     """One incarnation of another router.
@@ -67,17 +69,15 @@
         self.by_host = {}
         self.members = {}
         self.replaced = []
+        self._replaced_names = {}
 
     def note(self, message, now):
         """Take note of a message; return its `Peer`, or None for a replay."""
         host = get_host(message.source)
         peer = self.by_source.get(message.source)
         if peer is None:
-            current = self.by_host.get(host)
-            if current and _number(current.source) > _number(message.source):
+            if not self._make_way(host, message.source, now):
                 return None
-            if current:
-                self._replace(current)
             peer = Peer(message.source, host)
             self.by_source[message.source] = peer
             self.by_host[host] = peer
@@ -123,9 +123,24 @@
         targets.pop(own_host, None)
         return targets
 
-    def _replace(self, peer):
-        del self.by_source[peer.source]
-        self.replaced.append(peer)
+    def _make_way(self, host, source, now):
+        """Replace the host's incarnation; False where ``source`` is no later one."""
+        if source in self._replaced_names:
+            return False
+        current = self.by_host.get(host)
+        if current is None:
+            return True
+        # A clock that was set back gives a later start a lower number; then
+        # the silence of the other one tells them apart.
+        silent = current.heard < now - self.patience
+        if _number(current.source) > _number(source) and not silent:
+            return False
+        del self.by_source[current.source]
+        self.replaced.append(current)
+        self._replaced_names[current.source] = None
+        if len(self._replaced_names) > _REMEMBERED:
+            self._replaced_names.pop(next(iter(self._replaced_names)))
+        return True
 
 
 def get_host(source):
--- a/packages/valeweir_operators/src/valeweir_operators/api.py
+++ b/packages/valeweir_operators/src/valeweir_operators/api.py
@@ -147,6 +147,9 @@
         offset = api.configuration.offset
     if since and (not since.isdigit() or int(since) > offset):
         return Problem(410, "too-old", "list again and watch from its version")
+    seconds = request.query.get("seconds", str(int(_WATCH_SECONDS)))
+    if not seconds.isdigit() or not 0 < int(seconds) <= _WATCH_SECONDS:
+        return Problem(400, "bad-seconds", f"1 to {_WATCH_SECONDS:g}")
     seen = int(since) if since else offset
     with api.lock:
         known = {
@@ -155,7 +158,7 @@
             if r.version < seen and _is_visible(api, operator, r)
         }
     reply.start_stream(200, [("Content-Type", "application/x-ndjson")])
-    deadline = time.monotonic() + _WATCH_SECONDS
+    deadline = time.monotonic() + int(seconds)
     bookmark = 0.0
     while time.monotonic() < deadline and not reply.is_gone():
         events, offset = _get_events(api, operator, target.kind, known)
--- a/packages/valeweir_router/src/valeweir_router/gossip.py
+++ b/packages/valeweir_router/src/valeweir_router/gossip.py
@@ -37,6 +37,8 @@
     for pool in state.pools:
         state.ledger.clamp(pool, _get_clamp(state, pool))
         leasing.plan(state, pool)
+        # An upstream may have come to the end of its pause.
+        scheduler.dispatch(state, pool)
     leasing.plan_idle(state)
     state.ledger.clear_pending("predicted")
     send_digests(state)
--- /dev/null
+++ b/packages/valeweir_router/tests/fleets.py
@@ -0,0 +1,131 @@
+"""One real router in this process, between stand-ins on free ports."""
+
+import contextlib
+import hashlib
+import time
+
+import msgspec
+import urllib3
+from loguru import logger
+from valeweir.resources import Change
+from valeweir.settings import prepare_settings
+from valeweir_platform.adapters import create_log
+from valeweir_router.router import create_router
+from valeweir_standins import platform, upstreams
+
+ROOT_KEY = "root"
+logger.disable("valeweir_router")
+logger.disable("valeweir_platform")
+HTTP = urllib3.PoolManager(retries=False)
+
+
+def get_address(server):
+    return f"{server.bind_addr[0]}:{server.bind_addr[1]}"
+
+
+def make_settings(host, log, membership, **sections):
+    data = {
+        "host": host,
+        "domain": "haldia",
+        "callers": {"address": "127.0.0.1:0"},
+        "admin": {
+            "address": "127.0.0.1:0",
+            "operator_key_sha256": hashlib.sha256(ROOT_KEY.encode()).hexdigest(),
+        },
+        "fleet": {"address": "127.0.0.1:0", "interval": 0.1, "lease": 0.5},
+        "platform": {
+            "log": f"http://{get_address(log)}",
+            "membership": f"http://{get_address(membership)}",
+            "poll": 0.1,
+        },
+        "stop": {"balancer_wait": 0.0, "limit": 5.0},
+    }
+    for name, values in sections.items():
+        data[name] = {**data.get(name, {}), **values}
+    return prepare_settings(data, {})
+
+
+class Fleet:
+    """Stand-ins and one router; a context manager."""
+
+    def __init__(self, slots=2, **sections):
+        self.stack = contextlib.ExitStack()
+        self.sections = sections
+        self.log = self.serve(platform.create_log("127.0.0.1:0"))
+        self.membership = self.serve(platform.create_membership("127.0.0.1:0", []))
+        self.engine = self.serve(
+            upstreams.create_engine("127.0.0.1:0", "llm", slots, 0.0, 0.0)
+        )
+        self.service = self.serve(upstreams.create_service("127.0.0.1:0", slots, 0.0))
+        self.declare(slots)
+
+    def __enter__(self):
+        cfg = make_settings("haldia-1", self.log, self.membership, **self.sections)
+        self.router = create_router(cfg)
+        self.router.start()
+        self.stack.callback(self.router.stop)
+        state = self.router.state
+        until(lambda: state.config_known and state.tables)
+        until(lambda: all(state.clock() >= t.settled_at for t in state.tables.values()))
+        self.callers = get_address(self.router.callers)
+        self.admin = get_address(self.router.admin)
+        return self
+
+    def __exit__(self, *_exc):
+        self.stack.close()
+
+    def serve(self, server):
+        server.start_threads()
+        self.stack.callback(server.stop)
+        return server
+
+    def append(self, kind, name, spec, base=0):
+        change = Change(id=f"{kind}/{name}", kind=kind, name=name, base=base, spec=spec)
+        log = create_log(f"http://{get_address(self.log)}", 2.0)
+        return log.append({"change": msgspec.to_builtins(change)})
+
+    def declare(self, slots):
+        self.append("partners", "p", {"keys": []})
+        for name, server, kind in (
+            ("llm", self.engine, "engine"),
+            ("api", self.service, "service"),
+        ):
+            spec = {"partner": "p", "pool": name, "kind": kind, "domain": "haldia"}
+            spec |= {"address": get_address(server), "slots": slots}
+            self.append("upstreams", f"{name}-1", spec)
+        digest = hashlib.sha256(b"key-a").hexdigest()
+        self.append("client-accounts", "a", {"partner": "p", "key_hashes": [digest]})
+
+    def set_faults(self, server, **faults):
+        body = msgspec.json.encode(faults)
+        HTTP.request("PUT", f"http://{get_address(server)}/faults", body=body)
+
+    def get_stats(self, server):
+        resp = HTTP.request("GET", f"http://{get_address(server)}/stats")
+        return msgspec.json.decode(resp.data)
+
+    def call(self, method, path, body=None, headers=None):
+        sent = {"Authorization": "Bearer key-a", **(headers or {})}
+        url = f"http://{self.callers}{path}"
+        return HTTP.request(method, url, body=body, headers=sent)
+
+    def chat(self, **fields):
+        body = {"model": "llm", "messages": [{"role": "user", "content": "hello"}]}
+        data = msgspec.json.encode({**body, "max_tokens": 4, **fields})
+        return self.call("POST", "/v1/chat/completions", data)
+
+    def operate(self, method, path, body=None, headers=None, key=ROOT_KEY):
+        sent = {"Authorization": f"Bearer {key}", **(headers or {})}
+        data = None if body is None else msgspec.json.encode(body)
+        return HTTP.request(
+            method, f"http://{self.admin}{path}", body=data, headers=sent
+        )
+
+
+def until(condition, seconds=20.0):
+    """Wait for a condition; fails the test only if it never comes."""
+    deadline = time.monotonic() + seconds
+    while not condition():
+        if time.monotonic() > deadline:
+            raise AssertionError("the condition never came")
+        time.sleep(0.01)
--- /dev/null
+++ b/packages/valeweir_router/tests/test_promises.py
@@ -0,0 +1,75 @@
+import threading
+import unittest
+
+from fleets import Fleet, until
+
+
+class TestOutcomes(unittest.TestCase):
+    def test_unrepeatable_call_that_may_have_run_is_unknown_and_sent_once(self):
+        with Fleet() as fleet:
+            fleet.set_faults(fleet.service, drop=1.0)
+            resp = fleet.call("POST", "/services/api/hold/1", b"x")
+            self.assertEqual(resp.headers["X-Valeweir-Outcome"], "unknown")
+            self.assertEqual(fleet.get_stats(fleet.service)["runs"], 1)
+
+    def test_unrepeatable_call_to_a_dead_upstream_was_not_run(self):
+        with Fleet() as fleet:
+            fleet.service.stop()
+            resp = fleet.call("POST", "/services/api/hold/1", b"x")
+            self.assertEqual(resp.headers["X-Valeweir-Outcome"], "not-run")
+            self.assertIn("Retry-After", resp.headers)
+
+    def test_repeatable_call_is_retried(self):
+        with Fleet() as fleet:
+            fleet.set_faults(fleet.engine, refuse=0.5)
+            resp = fleet.chat()
+            self.assertEqual(resp.headers["X-Valeweir-Outcome"], "complete")
+
+    def test_crossed_answer_never_reaches_the_caller(self):
+        with Fleet() as fleet:
+            first = fleet.chat()
+            fleet.set_faults(fleet.engine, crossed=1.0)
+            second = fleet.chat(
+                messages=[{"role": "user", "content": "another question"}]
+            )
+            self.assertEqual(second.headers["X-Valeweir-Outcome"], "unknown")
+            self.assertNotEqual(first.data, second.data)
+
+
+class TestPlannedStop(unittest.TestCase):
+    def test_stop_waits_for_the_request_in_flight(self):
+        with Fleet() as fleet:
+            fleet.set_faults(fleet.engine, late=0.5)
+            answers = []
+            caller = threading.Thread(target=lambda: answers.append(fleet.chat()))
+            caller.start()
+            until(lambda: fleet.get_stats(fleet.engine)["busy"] == 1)
+            self.assertEqual(fleet.router.stop(), 0)
+            caller.join()
+            self.assertEqual(answers[0].status, 200)
+
+    def test_stopping_router_is_not_ready(self):
+        with Fleet() as fleet:
+            path = "/readyz"
+            self.assertEqual(fleet.operate("GET", path).status, 200)
+            fleet.router.state.leaving = True
+            self.assertEqual(fleet.operate("GET", path).status, 503)
+
+
+class TestLeavingUpstream(unittest.TestCase):
+    def test_leaving_upstream_gets_no_new_work(self):
+        with Fleet() as fleet:
+            self.assertEqual(fleet.chat().status, 200)
+            version = fleet.operate("GET", "/v1/upstreams/llm-1").json()["version"]
+            spec = {"spec": {"state": "leaving"}}
+            headers = {"If-Match": f'"{version}"'}
+            resp = fleet.operate("PATCH", "/v1/upstreams/llm-1", spec, headers)
+            self.assertEqual(resp.status, 200)
+            resp = fleet.call(
+                "POST",
+                "/v1/chat/completions",
+                b'{"model":"llm","messages":[{"content":"x"}]}',
+                {"X-Valeweir-Deadline": "0.3"},
+            )
+            self.assertEqual(resp.headers["X-Valeweir-Outcome"], "not-run")
+            self.assertEqual(fleet.get_stats(fleet.engine)["done"], 1)
--- /dev/null
+++ b/packages/valeweir_router/tests/test_sessions.py
@@ -0,0 +1,122 @@
+import os
+import re
+import socket
+import unittest
+from pathlib import Path
+
+from fleets import Fleet
+
+GOLDEN = Path(__file__).parent / "golden"
+
+
+def talk(address, data):
+    """Send raw bytes; return all that comes until the other side closes."""
+    host, _, port = address.rpartition(":")
+    with socket.create_connection((host, int(port)), timeout=20.0) as sock:
+        sock.sendall(data)
+        parts = []
+        try:
+            while part := sock.recv(65536):
+                parts.append(part)
+        except ConnectionResetError:
+            parts.append(b"<reset>")
+    return b"".join(parts).decode()
+
+
+def join_chunks(text):
+    """Return a chunked answer joined; chunks differ from run to run."""
+    head, _, rest = text.partition("\r\n\r\n")
+    if "Transfer-Encoding: chunked" not in head:
+        return text
+    parts = []
+    while rest:
+        size, _, rest = rest.partition("\r\n")
+        if int(size, 16) == 0:
+            parts.append("<end>\n")
+            break
+        parts.append(rest[: int(size, 16)])
+        rest = rest[int(size, 16) + 2 :]
+    else:
+        parts.append("<cut>\n")
+    return head + "\r\n\r\n" + "".join(parts)
+
+
+def normalise(text):
+    """Replace what differs from run to run."""
+    text = join_chunks(text)
+    text = re.sub(r"haldia-1-[0-9a-f]{8}-\d+", "ID", text)
+    text = re.sub(r"(?m)^(Date|Server): .*\r\n", "", text)
+    text = re.sub(r"Retry-After: \d+", "Retry-After: N", text)
+    return text.replace("\r\n", "\n")
+
+
+def request(line, body="", key="key-a", **headers):
+    rows = [f"{line} HTTP/1.1", "Host: x", "Connection: close"]
+    rows += [f"Authorization: Bearer {key}"] if key else []
+    rows += [f"{name.replace('_', '-')}: {value}" for name, value in headers.items()]
+    if body and "Content_Length" not in headers:
+        rows.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(rows) + "\r\n\r\n" + body).encode()
+
+
+def chat(model="llm", stream=False, tokens=3):
+    flag = "true" if stream else "false"
+    return (
+        f'{{"model":"{model}","messages":[{{"role":"user","content":"tide?"}}],'
+        f'"max_tokens":{tokens},"stream":{flag}}}'
+    )
+
+
+MODEL = "POST /v1/chat/completions"
+SESSIONS = {
+    "unary": request(MODEL, chat()),
+    "stream": request(MODEL, chat(stream=True)),
+    "models": request("GET /v1/models"),
+    "service": request("POST /services/api/hold/7", "berth", Idempotency_Key="k1"),
+    "unknown_account": request(MODEL, chat(), key="wrong"),
+    "no_key": request(MODEL, chat(), key=""),
+    "unknown_pool": request(MODEL, chat(model="nothing")),
+    "unknown_class": request(MODEL, chat(), X_Valeweir_Class="urgent"),
+    "bad_deadline": request(MODEL, chat(), X_Valeweir_Deadline="-1"),
+    "bad_body": request(MODEL, '{"model": 7}'),
+    "unknown_path": request("GET /v2/nothing"),
+    "two_lengths": request(MODEL, chat(), Transfer_Encoding="chunked"),
+    "bad_length": request(MODEL, chat(), Content_Length="ten"),
+    "oversized": request(MODEL, "", Content_Length="999999999"),
+    "malformed": b"NONSENSE\r\n\r\n",
+}
+FAULTY_SESSIONS = {
+    "cut_unary": (request(MODEL, chat()), "engine", {"cut": 1.0}),
+    "cut_stream": (request(MODEL, chat(stream=True)), "engine", {"cut": 1.0}),
+    "refused_engine": (request(MODEL, chat()), "engine", {"refuse": 1.0}),
+    "dropped_call": (
+        request("POST /services/api/hold/8", "berth"),
+        "service",
+        {"drop": 1.0},
+    ),
+}
+
+
+class TestGoldenSessions(unittest.TestCase):
+    """Whole sessions, byte for byte; UPDATE_GOLDEN=1 writes them anew."""
+
+    maxDiff = None
+
+    def check(self, name, text):
+        path = GOLDEN / f"{name}.txt"
+        if os.environ.get("UPDATE_GOLDEN"):
+            GOLDEN.mkdir(exist_ok=True)
+            path.write_text(text)
+        self.assertEqual(text, path.read_text())
+
+    def test_sessions(self):
+        with Fleet() as fleet:
+            for name, data in SESSIONS.items():
+                with self.subTest(name):
+                    self.check(name, normalise(talk(fleet.callers, data)))
+
+    def test_sessions_with_a_faulty_upstream(self):
+        for name, (data, role, faults) in FAULTY_SESSIONS.items():
+            with self.subTest(name), Fleet() as fleet:
+                fleet.set_faults(getattr(fleet, role), **faults)
+                self.check(name, normalise(talk(fleet.callers, data)))
--- /dev/null
+++ b/packages/valeweir_sharing/tests/test_accounts.py
@@ -0,0 +1,120 @@
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from valeweir_sharing.accounts import Key, Ledger, Report
+
+A, B, C = (Key("llm", name) for name in "abc")
+
+
+def report(settled=0.0, inflight=0.0, lift=0.0, waiting=0):
+    return Report(settled, inflight, lift, waiting)
+
+
+class TestLedger(unittest.TestCase):
+    def test_charge_and_settlement(self):
+        ledger = Ledger()
+        ledger.charge(A, 100)
+        self.assertEqual(ledger.get_virtual(A), 100)
+        ledger.settle(A, 100, 140)
+        self.assertEqual(ledger.get_virtual(A), 140)
+
+    def test_entrant_saves_up_no_credit(self):
+        ledger = Ledger()
+        ledger.note_waiting(A, 1)
+        ledger.settle(A, 0, 500)
+        ledger.note_waiting(B, 1)
+        self.assertEqual(ledger.get_virtual(B), 500)
+
+    def test_entrant_starts_at_the_front_where_nobody_waits(self):
+        ledger = Ledger()
+        ledger.settle(A, 0, 300)
+        ledger.charge(A, 50)
+        ledger.note_waiting(B, 1)
+        self.assertEqual(ledger.get_virtual(B), 300)
+
+    def test_account_that_waits_elsewhere_is_no_entrant(self):
+        ledger = Ledger()
+        ledger.note_waiting(A, 1)
+        ledger.settle(A, 0, 500)
+        ledger.merge("r#1", 1, [(B, report(settled=20, waiting=2))], [])
+        ledger.note_waiting(B, 1)
+        self.assertEqual(ledger.get_virtual(B), 20)
+
+    def test_lifts_of_two_routers_do_not_add_up(self):
+        ledger = Ledger()
+        ledger.merge("r#1", 1, [(A, report(lift=50))], [])
+        ledger.merge("s#1", 1, [(A, report(lift=40))], [])
+        self.assertEqual(ledger.get_virtual(A), 50)
+
+    def test_replayed_and_backward_reports(self):
+        ledger = Ledger()
+        self.assertTrue(ledger.merge("r#1", 5, [(A, report(settled=90))], []))
+        self.assertFalse(ledger.merge("r#1", 5, [(A, report(settled=99))], []))
+        self.assertTrue(ledger.merge("r#1", 6, [(A, report(settled=10))], []))
+        self.assertEqual(ledger.get_virtual(A), 90)
+        self.assertEqual(ledger.regressions, 1)
+
+    def test_gone_router_keeps_its_service_but_no_demand(self):
+        ledger = Ledger()
+        ledger.merge("r#1", 1, [(A, report(70, 30, 0, 4))], [])
+        ledger.set_live("r#1", False)
+        self.assertEqual(ledger.get_virtual(A), 70)
+        self.assertIsNone(ledger.get_least_elsewhere("llm"))
+        ledger.set_live("r#1", True)
+        self.assertEqual(ledger.get_waiting("llm"), {"a": 4})
+
+    def test_retirement_moves_nothing_and_is_final(self):
+        ledger = Ledger()
+        ledger.merge("r#1", 1, [(A, report(70, 30, 0, 4))], [])
+        ledger.retire("r#1", now=0.0)
+        self.assertEqual(ledger.get_virtual(A), 70)
+        self.assertFalse(ledger.merge("r#1", 2, [(A, report(settled=200))], []))
+
+    def test_router_that_starts_empty_takes_history_once(self):
+        old, new = Ledger(), Ledger()
+        old.merge("r#1", 1, [(A, report(settled=70))], [])
+        old.retire("r#1", now=0.0)
+        new.merge("r#1", 1, [(A, report(settled=70))], [])
+        new.adopt_history(*old.get_history(), now=0.0)
+        self.assertEqual(new.get_virtual(A), old.get_virtual(A))
+
+    def test_clamp_bounds_the_difference_after_a_cut(self):
+        ledger = Ledger()
+        for key in (A, B, C):
+            ledger.note_waiting(key, 1)
+        for key, served in ((A, 1000), (B, 100), (C, 990)):
+            ledger.settle(key, 0, served)
+        self.assertEqual(ledger.clamp("llm", 40), 1)
+        self.assertEqual(ledger.get_virtual(B), 960)
+
+    def test_pending_is_forgotten_with_the_next_report(self):
+        ledger = Ledger()
+        ledger.add_pending("r#1", A, 25)
+        self.assertEqual(ledger.get_virtual(A), 25)
+        ledger.merge("r#1", 1, [(A, report(inflight=20))], [])
+        self.assertEqual(ledger.get_virtual(A), 20)
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.integers(0, 2**32), st.integers(2, 5))
+    def test_ledgers_agree_once_all_reports_have_come(self, number, routers):
+        """Order, loss and repetition of reports change nothing in the end."""
+        rng = random.Random(number)
+        ledgers = {f"r{i}#1": Ledger() for i in range(routers)}
+        for _ in range(40):
+            source = rng.choice(list(ledgers))
+            key = rng.choice((A, B, C))
+            ledgers[source].settle(key, 0, rng.randint(1, 50))
+        reports = []
+        for source, ledger in ledgers.items():
+            rows = [(k, report(u.settled)) for k, u in ledger.own.items()]
+            reports += [(source, 1, rows[: len(rows) // 2]), (source, 2, rows)]
+        for source, ledger in ledgers.items():
+            order = [r for r in reports if r[0] != source] * 2
+            rng.shuffle(order)
+            for sender, seq, rows in order:
+                ledger.merge(sender, seq, rows, [])
+        for key in (A, B, C):
+            values = {round(led.get_virtual(key), 6) for led in ledgers.values()}
+            self.assertEqual(len(values), 1)
--- /dev/null
+++ b/packages/valeweir_sharing/tests/test_leases.py
@@ -0,0 +1,228 @@
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+from valeweir_sharing.leases import MARGIN, Holder, Table
+
+LEASE = 4.0
+UP = "vale-llm-1"
+
+
+def make_pair(slots=4, now=0.0):
+    table = Table(UP, slots, epoch=10, settled_at=now)
+    holder = Holder(LEASE)
+    holder.note_echo("owner", now)
+    return table, holder
+
+
+class TestHolder(unittest.TestCase):
+    def test_slot_is_reused_without_a_message(self):
+        table, holder = make_pair()
+        table.grant("h", 1, 0.0)
+        holder.merge_grant("owner", table.get_grant("h"))
+        for _ in range(3):
+            self.assertTrue(holder.take(UP, 1.0))
+            self.assertFalse(holder.take(UP, 1.0))
+            holder.finish(UP)
+
+    def test_nothing_goes_out_on_a_lapsed_lease(self):
+        table, holder = make_pair()
+        table.grant("h", 2, 0.0)
+        holder.merge_grant("owner", table.get_grant("h"))
+        self.assertTrue(holder.take(UP, LEASE - 0.1))
+        self.assertFalse(holder.take(UP, LEASE))
+
+    def test_lapse_hands_everything_back(self):
+        table, holder = make_pair()
+        table.grant("h", 3, 0.0)
+        holder.merge_grant("owner", table.get_grant("h"))
+        self.assertEqual(holder.drop_lapsed(LEASE), [UP])
+        table.merge_claim("h", holder.get_claim(UP), LEASE)
+        self.assertEqual(table.get_free(LEASE), 4)
+
+    def test_repeated_and_older_grants_do_nothing(self):
+        table, holder = make_pair()
+        table.grant("h", 1, 0.0)
+        first = table.get_grant("h")
+        table.grant("h", 1, 0.0)
+        second = table.get_grant("h")
+        gains = [holder.merge_grant("owner", g) for g in (second, first, second)]
+        self.assertEqual(gains, [2, 0, 0])
+
+    def test_lower_epoch_is_ignored(self):
+        _, holder = make_pair()
+        new = Table(UP, 4, epoch=11, settled_at=0.0)
+        old = Table(UP, 4, epoch=10, settled_at=0.0)
+        for table in (new, old):
+            table.grant("h", 2, 0.0)
+        holder.merge_grant("b", new.get_grant("h"))
+        self.assertEqual(holder.merge_grant("a", old.get_grant("h")), 0)
+        self.assertEqual(holder.held[UP].owner, "b")
+
+
+class TestTable(unittest.TestCase):
+    def test_new_owner_adopts_what_holders_hold(self):
+        old, holder = make_pair()
+        old.grant("h", 3, 0.0)
+        holder.merge_grant("owner", old.get_grant("h"))
+        new = Table(UP, 4, epoch=11, settled_at=5.0)
+        new.merge_claim("h", holder.get_claim(UP), 1.0)
+        self.assertEqual(new.outstanding, 3)
+        self.assertEqual(new.get_free(1.0), 0)
+        self.assertEqual(new.get_free(5.0), 1)
+
+    def test_slot_handed_back_to_a_new_owner_is_free_at_once(self):
+        old, holder = make_pair()
+        old.grant("h", 3, 0.0)
+        holder.merge_grant("owner", old.get_grant("h"))
+        new = Table(UP, 4, epoch=11, settled_at=5.0)
+        new.merge_claim("h", holder.get_claim(UP), 1.0)
+        holder.merge_grant("new", new.get_grant("h"))
+        holder.give_back(UP, 1)
+        new.merge_claim("h", holder.get_claim(UP), 1.1)
+        self.assertEqual(new.get_free(1.1), 1)
+
+    def test_silent_holder_expires_only_after_its_own_lapse(self):
+        table, _ = make_pair()
+        table.grant("h", 2, 0.0)
+        self.assertEqual(table.expire(LEASE, LEASE), [])
+        self.assertEqual(table.expire(LEASE + MARGIN + 0.1, LEASE), ["h"])
+
+    def test_higher_epoch_is_told_to_the_owner(self):
+        table, _ = make_pair()
+        holder = Holder(LEASE)
+        rival = Table(UP, 4, epoch=12, settled_at=0.0)
+        rival.grant("h", 1, 0.0)
+        holder.merge_grant("rival", rival.get_grant("h"))
+        self.assertEqual(table.merge_claim("h", holder.get_claim(UP), 0.0), 12)
+
+
+class LeaseProtocol(RuleBasedStateMachine):
+    """Owner and holders over a network that loses, repeats and reorders.
+
+    Moves include pauses of any length and owners replaced empty. Invariant:
+    what the holders may use never exceeds the slots.
+    """
+
+    SLOTS = 5
+    NAMES = ("x", "y", "z")
+
+    @initialize()
+    def start(self):
+        self.now = 0.0
+        self.epoch = 1
+        self.owner = "o1"
+        self.table = Table(UP, self.SLOTS, self.epoch, 0.0)
+        self.holders = {name: Holder(LEASE) for name in self.NAMES}
+        self.to_holder = []
+        self.to_owner = []
+
+    @rule(name=st.sampled_from(NAMES), count=st.integers(1, 3))
+    def grant(self, name, count):
+        count = min(count, self.table.get_free(self.now))
+        if count:
+            self.table.grant(name, count, self.now)
+
+    @rule(name=st.sampled_from(NAMES))
+    def answer(self, name):
+        if name in self.table.entries:
+            grant = self.table.get_grant(name)
+            self.to_holder.append((name, self.owner, grant, self.seen.get(name)))
+
+    @rule(name=st.sampled_from(NAMES))
+    def claim(self, name):
+        claim = self.holders[name].get_claim(UP)
+        self.to_owner.append((name, self.now, claim))
+
+    @rule(pick=st.integers(0, 100), keep=st.booleans())
+    def deliver_to_owner(self, pick, keep):
+        if not self.to_owner:
+            return
+        index = pick % len(self.to_owner)
+        name, sent, claim = self.to_owner[index]
+        newest = max((s for n, s, _ in self.arrived if n == name), default=-1.0)
+        if not keep:
+            del self.to_owner[index]
+        if sent <= newest:
+            return  # the sequence number refuses replays and old news
+        self.arrived.append((name, sent, claim))
+        self.table.merge_claim(name, claim, self.now)
+        self.seen[name] = sent
+
+    @rule(pick=st.integers(0, 100), keep=st.booleans())
+    def deliver_to_holder(self, pick, keep):
+        if not self.to_holder:
+            return
+        index = pick % len(self.to_holder)
+        name, owner, grant, seen = self.to_holder[index]
+        if not keep:
+            del self.to_holder[index]
+        if seen is not None:
+            self.holders[name].note_echo(owner, seen)
+        self.holders[name].merge_grant(owner, grant)
+
+    @rule(name=st.sampled_from(NAMES), count=st.integers(0, 3))
+    def exchange(self, name, count):
+        """The usual case: a digest each way, and a grant, without loss."""
+        self.claim(name)
+        self.deliver_to_owner(len(self.to_owner) - 1, keep=True)
+        self.grant(name, count)
+        self.answer(name)
+        self.deliver_to_holder(len(self.to_holder) - 1, keep=True)
+
+    @rule(name=st.sampled_from(NAMES), count=st.integers(1, 3))
+    def give_back(self, name, count):
+        self.holders[name].give_back(UP, count)
+
+    @rule(seconds=st.sampled_from((0.1, 1.0, LEASE, 3 * LEASE)))
+    def pass_time(self, seconds):
+        self.now += seconds
+        for holder in self.holders.values():
+            holder.drop_lapsed(self.now)
+        self.table.expire(self.now, LEASE)
+
+    @precondition(lambda self: self.epoch < 5)
+    @rule()
+    def replace_owner(self):
+        self.epoch += 1
+        self.owner = f"o{self.epoch}"
+        self.table = Table(UP, self.SLOTS, self.epoch, self.now + LEASE + MARGIN)
+        self.seen.clear()
+        self.arrived.clear()
+
+    @invariant()
+    def slots_are_never_overcommitted(self):
+        if not hasattr(self, "holders"):
+            return
+        usable = sum(
+            holder.held[UP].slots
+            for holder in self.holders.values()
+            if UP in holder.held and holder.is_valid(UP, self.now)
+        )
+        assert usable <= self.SLOTS, usable
+
+    def __init__(self):
+        super().__init__()
+        self.seen = {}
+        self.arrived = []
+
+
+class TestLeaseProtocol(unittest.TestCase):
+    def test_slots_are_never_overcommitted(self):
+        run_state_machine_as_test(
+            LeaseProtocol,
+            settings=settings(
+                max_examples=150,
+                stateful_step_count=40,
+                deadline=None,
+                derandomize=True,
+            ),
+        )
--- a/packages/valeweir_upstreams/src/valeweir_upstreams/exchanges.py
+++ b/packages/valeweir_upstreams/src/valeweir_upstreams/exchanges.py
@@ -3,12 +3,15 @@
 import select
 import time
 from enum import StrEnum
+from http.client import HTTPException
 from typing import NamedTuple
 
 from urllib3.exceptions import HTTPError
 from valeweir.models import REQUEST_ID_HEADER
 
 _POLL_SECONDS = 1.0
+# http.client raises its own errors for an upstream that speaks no HTTP.
+_BROKEN = (OSError, HTTPError, HTTPException, ValueError)
 _READ_SIZE = 64 << 10
 _HOP_BY_HOP = frozenset(
     (
@@ -92,7 +95,7 @@
                 preload_content=False,
                 decode_content=False,
             )
-        except (OSError, HTTPError) as exc:
+        except _BROKEN as exc:
             return self._fail(Fault.AMBIGUOUS, exc)
         return None
 
@@ -118,7 +121,7 @@
         """Return the answer's `Head` or a `Failure`."""
         try:
             self._resp = self._conn.getresponse()
-        except (OSError, HTTPError) as exc:
+        except _BROKEN as exc:
             return self._fail(Fault.AMBIGUOUS, exc)
         headers = list(self._resp.headers.items())
         for name, value in headers:
@@ -151,7 +154,7 @@
                 if not part:
                     break
                 yield part
-        except (OSError, HTTPError, ValueError) as exc:
+        except _BROKEN as exc:
             yield self._fail(Fault.CUT, exc)
             return
         if getattr(self._resp, "length_remaining", None):
@@ -200,7 +203,7 @@
     if conn is None:
         try:
             conn = connections.connect(address)
-        except (OSError, HTTPError) as exc:
+        except _BROKEN as exc:
             return Failure(Fault.NOT_SENT, str(exc))
     return Exchange(connections, address, conn)
 
