--- a/packages/valeweir/src/valeweir/settings.py
+++ b/packages/valeweir/src/valeweir/settings.py
@@ -149,7 +149,7 @@
     "fleet": {
         "seeds": [],
         "interval": 0.5,
-        "lease": 4.0,
+        "lease": 5.0,
         "byte_budget": 5000,
         "mesh_limit": 16,
     },
@@ -278,9 +278,9 @@
 def _get_cross_faults(data, text):
     faults = []
     fleet = {**DEFAULTS["fleet"], **data["fleet"]}
-    if fleet["lease"] < 4 * fleet["interval"]:
+    if fleet["lease"] < 6 * fleet["interval"]:
         path = ["fleet", "lease"]
-        message = "a lease must last at least four intervals"
+        message = "a lease must last at least six intervals"
         faults.append(Fault("$.fleet.lease", _find_line(path, text), message))
     for section in ("callers", "admin"):
         part = data[section]
--- a/packages/valeweir_fleet/src/valeweir_fleet/links.py
+++ b/packages/valeweir_fleet/src/valeweir_fleet/links.py
@@ -29,6 +29,7 @@
 
     def __init__(self, address, connect):
         self.address = address
+        self.sent_bytes = 0
         self._connect = connect
         self._queue = queue.Queue(_QUEUE_LIMIT)
         self._thread = threading.Thread(
@@ -66,6 +67,7 @@
         except zmq.Again:
             metrics.control_dropped.labels("peer unreachable").inc()
             return
+        self.sent_bytes += len(data)
         metrics.control_bytes.labels("out").inc(len(data))
         metrics.control_messages.labels(type(message).__name__).inc()
 
@@ -105,6 +107,11 @@
         )
         self._thread.start()
 
+    @property
+    def sent_bytes(self):
+        """Bytes sent over the links that are open now."""
+        return sum(link.sent_bytes for link in list(self._links.values()))
+
     def send(self, address, message):
         """Send to a peer by address; opens its link at first use."""
         link = self._links.get(address)
--- a/packages/valeweir_fleet/src/valeweir_fleet/messages.py
+++ b/packages/valeweir_fleet/src/valeweir_fleet/messages.py
@@ -33,13 +33,14 @@
 class PoolReport(msgspec.Struct, frozen=True, array_like=True):
     """Service figures of one pool; costs per weight, rounded to integers.
 
-    ``accounts`` maps a client account to ``(settled, inflight, lift,
-    waiting)``.
+    ``accounts`` maps a client account's number to ``(settled, inflight, lift,
+    waiting)``. The number is the log offset at which the account was created:
+    the same at every router, and a third of a name's bytes.
     """
 
     pool: str
     front: int
-    accounts: dict[str, tuple[int, int, int, int]]
+    accounts: dict[int, tuple[int, int, int, int]]
 
 
 class Digest(Message, tag="D"):
@@ -64,12 +65,13 @@
 class Ask(Message, tag="A"):
     """A holder hands back slots, or asks for some, between digests.
 
-    ``waiting`` maps each account that waits in ``pool`` to its requests.
+    ``waiting`` maps the number of each account that waits in ``pool`` to its
+    requests.
     """
 
     sent_at: float
     pool: str
-    waiting: dict[str, int]
+    waiting: dict[int, int]
     claims: list[Claim]
 
 
@@ -104,7 +106,52 @@
     retired: list[str]
 
 
-AnyMessage = Digest | Ask | Offer | ViewQuery | ViewAnswer | HistoryQuery | History
+class KeyClaim(Message, tag="K"):
+    """A router asks a holder to record an idempotency key for a request."""
+
+    key: str
+    request: str
+
+
+class KeyAnswer(Message, tag="N"):
+    """A holder's answer, a value of `valeweir_sharing.keys.Claimed`."""
+
+    key: str
+    request: str
+    answer: str
+
+
+class KeyRelease(Message, tag="R"):
+    """A router gives a key back: its call was certainly not run."""
+
+    key: str
+    request: str
+
+
+class KeyQuery(Message, tag="L"):
+    """A router that started empty asks for the claims recorded."""
+
+
+class KeyRows(Message, tag="W"):
+    """Claims recorded at the sender: (key, request, age in seconds)."""
+
+    rows: list[tuple[str, str, float]]
+
+
+AnyMessage = (
+    Digest
+    | Ask
+    | Offer
+    | ViewQuery
+    | ViewAnswer
+    | HistoryQuery
+    | History
+    | KeyClaim
+    | KeyAnswer
+    | KeyRelease
+    | KeyQuery
+    | KeyRows
+)
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(AnyMessage)
--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/claims.py
@@ -0,0 +1,175 @@
+"""Claims of idempotency keys, asked of their holders before a call is sent.
+
+Functions expect the state's lock to be held, except `claim` and `release`.
+"""
+
+import hashlib
+import threading
+
+from loguru import logger
+from valeweir import metrics
+from valeweir.models import Outcome, Refusal
+from valeweir_fleet.messages import (
+    KeyAnswer,
+    KeyClaim,
+    KeyQuery,
+    KeyRelease,
+    KeyRows,
+)
+from valeweir_sharing.keys import Claimed, get_holders, judge_claim
+
+_PATIENCE = 1.0
+_ALONE_AFTER = 3.0
+
+
+class Claim:
+    """A claim under way: who has answered what."""
+
+    def __init__(self, key, request, holders):
+        self.key = key
+        self.request = request
+        self.holders = holders
+        self.answers = {}
+        self.settled = threading.Event()
+
+    def note(self, host, answer):
+        """Take in a holder's answer."""
+        if host in self.holders:
+            self.answers[host] = answer
+        everyone = len(self.answers) == len(self.holders)
+        if everyone or self.judge() is not None:
+            self.settled.set()
+
+    def judge(self):
+        """Return whether the call may be sent; None where that is open."""
+        return judge_claim(self.answers, len(self.holders))
+
+
+def make_key(account, pool, text):
+    """Return the fleet-wide name of a caller's key."""
+    data = f"{account}\0{pool}\0{text}".encode()
+    return hashlib.blake2b(data, digest_size=12).hexdigest()
+
+
+def claim(state, key, request):
+    """Claim a key for a request; return None, or the `Refusal` to answer."""
+    with state.lock:
+        entry = _begin(state, key, request)
+    entry.settled.wait(_PATIENCE)
+    with state.lock:
+        state.claims.pop((key, request), None)
+        verdict = entry.judge()
+    if verdict:
+        return None
+    release(state, key, request)
+    if verdict is False:
+        return Refusal(
+            409,
+            "key-already-sent",
+            "a call with this Idempotency-Key was accepted before",
+            "ask the service what became of it; it is not sent twice",
+            outcome=Outcome.UNKNOWN,
+        )
+    return Refusal(
+        503,
+        "key-holders-unreachable",
+        "whether this Idempotency-Key was used before cannot be known now",
+        "send it again later with the same key: it runs at most once",
+        outcome=Outcome.UNKNOWN,
+        retry_after=2,
+    )
+
+
+def release(state, key, request):
+    """Give a key back whose call was certainly not run."""
+    with state.lock:
+        for host in get_holders(key, _get_members(state)):
+            if host == state.host:
+                state.keys.release(key, request)
+            else:
+                _send(state, host, KeyRelease, key=key, request=request)
+
+
+def handle_claim(state, peer, message):
+    """Record another router's claim and answer."""
+    answer = state.keys.claim(message.key, message.request, state.clock())
+    _send(
+        state,
+        peer.host,
+        KeyAnswer,
+        key=message.key,
+        request=message.request,
+        answer=answer.value,
+    )
+
+
+def handle_answer(state, peer, message):
+    """Take in a holder's answer to a claim of ours."""
+    entry = state.claims.get((message.key, message.request))
+    if entry is None:
+        return
+    try:
+        entry.note(peer.host, Claimed(message.answer))
+    except ValueError:
+        metrics.control_dropped.labels("malformed").inc()
+
+
+def handle_release(state, peer, message):
+    """Forget a claim that another router gives back."""
+    state.keys.release(message.key, message.request)
+
+
+def handle_query(state, peer, message):
+    """Tell a router that started empty which claims are recorded here."""
+    rows = state.keys.get_rows(state.clock())
+    _send(state, peer.host, KeyRows, rows=rows)
+
+
+def handle_rows(state, peer, message):
+    """Take in what another holder has recorded."""
+    state.keys.merge(message.rows, state.clock())
+    state.keys_learned.add(peer.host)
+
+
+def learn(state):
+    """Once an interval: expire claims, and learn the others' after a start."""
+    state.keys.expire(state.clock())
+    if state.keys.complete:
+        return
+    missing = [
+        peer.host
+        for peer in state.peers.get_live()
+        if peer.host not in state.keys_learned
+    ]
+    for host in missing:
+        _send(state, host, KeyQuery)
+    # A router that hears nobody for a while has nobody to learn from.
+    patience = _ALONE_AFTER if _get_members(state) != {state.host} else 0.0
+    alone = state.clock() - state.started > patience
+    if not missing and (state.keys_learned or alone):
+        state.keys.complete = True
+        logger.bind(learned_from=len(state.keys_learned)).info("keys known")
+
+
+def _begin(state, key, request):
+    holders = get_holders(key, _get_members(state))
+    entry = Claim(key, request, holders)
+    state.claims[(key, request)] = entry
+    for host in holders:
+        if host == state.host:
+            entry.note(host, state.keys.claim(key, request, state.clock()))
+        else:
+            _send(state, host, KeyClaim, key=key, request=request)
+    return entry
+
+
+def _get_members(state):
+    """Return all hosts of the fleet, reachable or not."""
+    return {state.host, *state.peers.members}
+
+
+def _send(state, host, kind, **fields):
+    address = state.peers.get_targets(state.host).get(host)
+    if address is not None:
+        message = kind(source=state.source, seq=state.next_seq(), **fields)
+        state.links.send(address, message)
--- a/packages/valeweir_router/src/valeweir_router/gossip.py
+++ b/packages/valeweir_router/src/valeweir_router/gossip.py
@@ -13,6 +13,11 @@
     History,
     HistoryQuery,
     Identity,
+    KeyAnswer,
+    KeyClaim,
+    KeyQuery,
+    KeyRelease,
+    KeyRows,
     Offer,
     PoolReport,
     ViewAnswer,
@@ -21,7 +26,7 @@
 from valeweir_fleet.peers import Member
 from valeweir_sharing.accounts import Key, Report
 
-from . import leasing, scheduler
+from . import claims, leasing, scheduler
 
 _WHOLE_EVERY = 20
 
@@ -41,6 +46,7 @@
         scheduler.dispatch(state, pool)
     leasing.plan_idle(state)
     state.ledger.clear_pending("predicted")
+    claims.learn(state)
     send_digests(state)
 
 
@@ -81,7 +87,10 @@
     by_pool = {}
     for key in keys:
         usage = ledger.own[key]
-        by_pool.setdefault(key.pool, {})[key.account] = (
+        number = state.account_numbers.get(key.account)
+        if number is None:
+            continue
+        by_pool.setdefault(key.pool, {})[number] = (
             int(usage.settled),
             int(usage.inflight),
             int(ledger.lifts.get(key, 0.0)),
@@ -113,9 +122,10 @@
     state.holder.note_echo(peer.source, digest.echo)
     refresh_live(state)
     reports = [
-        (Key(pool.pool, account), Report(*figures))
+        (Key(pool.pool, state.account_names[number]), Report(*figures))
         for pool in digest.pools
-        for account, figures in pool.accounts.items()
+        for number, figures in pool.accounts.items()
+        if number in state.account_names
     ]
     fronts = [(pool.pool, pool.front) for pool in digest.pools]
     state.ledger.merge(peer.source, digest.seq, reports, fronts)
@@ -128,7 +138,9 @@
 
 def _handle_ask(state, peer, ask):
     peer.sent_at = max(peer.sent_at, ask.sent_at)
-    state.ledger.merge_waiting(peer.source, ask.pool, ask.waiting)
+    names = state.account_names
+    waiting = {names[n]: count for n, count in ask.waiting.items() if n in names}
+    state.ledger.merge_waiting(peer.source, ask.pool, waiting)
     leasing.merge_claims(state, peer.source, ask.claims)
     leasing.plan(state, ask.pool)
 
@@ -189,6 +201,11 @@
     ViewAnswer: _handle_view_answer,
     HistoryQuery: _handle_history_query,
     History: _handle_history,
+    KeyClaim: claims.handle_claim,
+    KeyAnswer: claims.handle_answer,
+    KeyRelease: claims.handle_release,
+    KeyQuery: claims.handle_query,
+    KeyRows: claims.handle_rows,
 }
 
 
--- a/packages/valeweir_router/src/valeweir_router/leasing.py
+++ b/packages/valeweir_router/src/valeweir_router/leasing.py
@@ -65,7 +65,11 @@
             seq=state.next_seq(),
             sent_at=now,
             pool=pool,
-            waiting=waiting,
+            waiting={
+                state.account_numbers[account]: count
+                for account, count in waiting.items()
+                if account in state.account_numbers
+            },
             claims=claims,
         )
         state.links.send(peer.address, ask)
--- a/packages/valeweir_router/src/valeweir_router/router.py
+++ b/packages/valeweir_router/src/valeweir_router/router.py
@@ -41,7 +41,7 @@
         self.state.links.start(self._handle)
         self.admin.start_threads()
         self.callers.start_threads()
-        self.timers.subscribe("digests", cfg["fleet"]["interval"], self._tick)
+        self.timers.subscribe("digests", self.state.pace.get_interval, self._tick)
         self.timers.subscribe("asks", leasing.ASK_GAP, self._flush_asks)
         self.timers.subscribe("members", cfg["platform"]["poll"], self._read_members)
         self.timers.start()
@@ -96,6 +96,7 @@
         started = time.thread_time()
         with self.state.lock:
             gossip.tick(self.state)
+            self.state.pace.note(self.state.links.sent_bytes, self.state.clock())
         metrics.control_seconds.inc(time.thread_time() - started)
 
     def _flush_asks(self):
--- a/packages/valeweir_router/src/valeweir_router/scheduler.py
+++ b/packages/valeweir_router/src/valeweir_router/scheduler.py
@@ -130,6 +130,7 @@
     state.ledger.note_waiting(ticket.key, -1)
     leasing.note_served(state, ticket.pool, ticket.account)
     state.ledger.charge(ticket.key, ticket.charge)
+    state.ledger.mirror_charge(ticket.key, ticket.charge)
     state.health.note_dispatch(choice.upstream)
     up = state.upstreams[choice.upstream]
     ticket.placement = Placement(up.name, up.address, choice.reason)
--- a/packages/valeweir_router/src/valeweir_router/sessions.py
+++ b/packages/valeweir_router/src/valeweir_router/sessions.py
@@ -8,6 +8,7 @@
 from valeweir import metrics
 from valeweir.models import (
     CLASS_PRIORITY,
+    IDEMPOTENCY_HEADER,
     OUTCOME_HEADER,
     REQUEST_ID_HEADER,
     Outcome,
@@ -30,7 +31,7 @@
     prepare_headers,
 )
 
-from . import scheduler
+from . import claims, scheduler
 from .states import Ticket
 
 _CALLER_CHECK = 2.0
@@ -72,7 +73,7 @@
         if result is None:
             return
         try:
-            _serve(state, connections, result)
+            _serve_once(state, connections, result)
         finally:
             with state.lock:
                 state.inflight -= 1
@@ -195,7 +196,24 @@
 # -- service -------------------------------------------------------------------
 
 
+def _serve_once(state, connections, served):
+    """Serve a request; one with a key only if the key is its own."""
+    text = served.request.headers.get(IDEMPOTENCY_HEADER)
+    if served.repeatable or not text:
+        _serve(state, connections, served)
+        return
+    ticket = served.ticket
+    key = claims.make_key(ticket.account, ticket.pool, text)
+    refusal = claims.claim(state, key, ticket.id)
+    if refusal is not None:
+        _end(served, refusal)
+        return
+    if _serve(state, connections, served) is Outcome.NOT_RUN:
+        claims.release(state, key, ticket.id)
+
+
 def _serve(state, connections, served):
+    """Queue, send and answer a request; return its `Outcome`."""
     ticket = served.ticket
     with state.lock:
         scheduler.submit(state, ticket)
@@ -203,13 +221,14 @@
         refusal = _wait_for_slot(state, served)
         if refusal is not None:
             _end(served, refusal)
-            return
+            return refusal.outcome
         failure = _attempt(state, connections, served)
         if failure is None:
-            return
+            return Outcome.COMPLETE
         if not _may_retry(state, served, failure, attempt):
-            _end(served, _explain(served, failure))
-            return
+            refusal = _explain(served, failure)
+            _end(served, refusal)
+            return refusal.outcome
         metrics.retries.labels(ticket.pool, failure.fault.value).inc()
         with state.lock:
             ticket.excluded.add(ticket.placement.upstream)
--- a/packages/valeweir_router/src/valeweir_router/states.py
+++ b/packages/valeweir_router/src/valeweir_router/states.py
@@ -12,8 +12,10 @@
 from valeweir_sharing.choice import PrefixHints
 from valeweir_sharing.estimates import Estimates
 from valeweir_sharing.health import Health
+from valeweir_sharing.keys import KeyTable
 from valeweir_sharing.leases import Holder
 from valeweir_sharing.limits import EntryLimits, Occupancy, RetryBudget
+from valeweir_sharing.pace import Pace
 from valeweir_sharing.queues import OrderSettings, PoolQueue
 
 
@@ -104,6 +106,8 @@
         self.upstreams = {}
         self.pools = {}
         self.accounts_by_hash = {}
+        self.account_numbers = {}
+        self.account_names = {}
         self.weights = {}
         self.weight_sum = 1.0
         self.ledger = Ledger()
@@ -118,7 +122,8 @@
         self.told = {}
         self.ask_due = set()
         self.idle_low = {}
-        self.peers = Peers(4 * cfg["fleet"]["interval"])
+        self.peers = Peers(cfg["fleet"]["lease"] / 2)
+        self.pace = Pace(cfg["fleet"])
         self.health = Health(self.rng)
         self.hints = PrefixHints()
         self.loads = {}
@@ -128,6 +133,10 @@
         self.leaving = False
         self.refusing = False
         self.config_known = False
+        self.started = clock()
+        self.keys = KeyTable()
+        self.keys_learned = set()
+        self.claims = {}
         self.history_known = False
         self.digests = 0
         self.seq = 0
@@ -178,6 +187,8 @@
         }
         self.weights = {n: r.spec["weight"] for n, r in resources["shares"].items()}
         accounts = resources["client-accounts"]
+        self.account_numbers = {n: r.created for n, r in accounts.items()}
+        self.account_names = {r.created: n for n, r in accounts.items()}
         total = sum(self.weights.get(name, 1.0) for name in accounts)
         self.weight_sum = total or 1.0
         metrics.config_offset.set(self.configuration.offset)
--- a/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
@@ -152,6 +152,17 @@
         usage.settled += actual
         self.dirty.add(key)
 
+    def mirror_charge(self, key, amount):
+        """Assume that every router where ``key`` waits charges it alike.
+
+        Between two reports all routers see the same account as the least
+        served; without this each of them serves it until the next report.
+        """
+        for source, state in self.sources.items():
+            report = state.reports.get(key)
+            if state.live and report is not None and report.waiting > 0:
+                self.add_pending(source, key, amount)
+
     def add_pending(self, source, key, amount):
         """Assume ``amount`` of service at ``source`` until its next report."""
         pending = self._pending.setdefault(source, {})
--- /dev/null
+++ b/packages/valeweir_sharing/tests/test_pace.py
@@ -0,0 +1,36 @@
+import unittest
+
+from valeweir_sharing.pace import Pace
+
+CFG = {"interval": 0.5, "lease": 5.0, "byte_budget": 1000}
+
+
+def run(bytes_a_digest, base, steps=200):
+    pace = Pace(CFG)
+    now = sent = 0.0
+    for _ in range(steps):
+        pace.note(sent, now)
+        now += pace.get_interval()
+        sent += bytes_a_digest + base * pace.get_interval()
+    return pace.get_interval()
+
+
+class TestPace(unittest.TestCase):
+    def test_interval_follows_the_budget(self):
+        cases = [
+            (100, 0, 0.5, 0.5),
+            (600, 0, 0.55, 0.83),
+            (5000, 0, 5.0 / 6, 5.0 / 6),
+            (100, 2000, 5.0 / 6, 5.0 / 6),
+        ]
+        for bytes_a_digest, base, low, high in cases:
+            with self.subTest(bytes_a_digest=bytes_a_digest, base=base):
+                interval = run(bytes_a_digest, base)
+                self.assertGreaterEqual(interval, low - 1e-9)
+                self.assertLessEqual(interval, high + 1e-9)
+
+    def test_counter_that_goes_back_is_ignored(self):
+        pace = Pace(CFG)
+        pace.note(10_000, 0.0)
+        pace.note(0, 1.0)
+        self.assertEqual(pace.get_interval(), 0.5)
--- a/packages/valeweir_standins/src/valeweir_standins/experiments.py
+++ b/packages/valeweir_standins/src/valeweir_standins/experiments.py
@@ -95,7 +95,8 @@
     weights = {
         a.name: a.weight for a in deployment.accounts if scenario.is_backlogged(a)
     }
-    gap = get_gap(load.ends, weights, begin, until)
+    gap_begin = begin + scenario.measured_from * setup.seconds
+    gap = get_gap(load.ends, weights, gap_begin, until)
     doubled, run_keys = _read_runs(rig, deployment)
     promises = count_promises(load.ends, doubled, run_keys)
     promises["starved"] = sum(1 for share in gap.shares.values() if share <= 0)
