--- a/packages/valeweir/src/valeweir/settings.py
+++ b/packages/valeweir/src/valeweir/settings.py
@@ -149,7 +149,7 @@
     "fleet": {
         "seeds": [],
         "interval": 0.5,
-        "lease": 5.0,
+        "lease": 4.0,
         "byte_budget": 5000,
         "mesh_limit": 16,
     },
--- a/packages/valeweir_fleet/src/valeweir_fleet/messages.py
+++ b/packages/valeweir_fleet/src/valeweir_fleet/messages.py
@@ -83,6 +83,19 @@
     recall: list[str]
 
 
+class Handover(Message, tag="T"):
+    """An owner passes its table of an upstream on to the next owner.
+
+    ``wait`` is the time in seconds until the sender itself would have granted
+    freely; ``holders`` maps incarnations to the slots they may be using.
+    """
+
+    upstream: str
+    epoch: int
+    wait: float
+    holders: dict[str, int]
+
+
 class ViewQuery(Message, tag="Q"):
     """A router behind ``config_offset`` asks for the configuration."""
 
@@ -107,25 +120,28 @@
 
 
 class KeyClaim(Message, tag="K"):
-    """A router asks a holder to record an idempotency key for a request."""
+    """A router asks a holder to record an idempotency key for a request.
+
+    Both travel as digests, see `valeweir_router.claims`.
+    """
 
-    key: str
-    request: str
+    key: bytes
+    request: int
 
 
 class KeyAnswer(Message, tag="N"):
     """A holder's answer, a value of `valeweir_sharing.keys.Claimed`."""
 
-    key: str
-    request: str
+    key: bytes
+    request: int
     answer: str
 
 
 class KeyRelease(Message, tag="R"):
     """A router gives a key back: its call was certainly not run."""
 
-    key: str
-    request: str
+    key: bytes
+    request: int
 
 
 class KeyQuery(Message, tag="L"):
@@ -135,13 +151,14 @@
 class KeyRows(Message, tag="W"):
     """Claims recorded at the sender: (key, request, age in seconds)."""
 
-    rows: list[tuple[str, str, float]]
+    rows: list[tuple[bytes, int, float]]
 
 
 AnyMessage = (
     Digest
     | Ask
     | Offer
+    | Handover
     | ViewQuery
     | ViewAnswer
     | HistoryQuery
--- a/packages/valeweir_fleet/src/valeweir_fleet/peers.py
+++ b/packages/valeweir_fleet/src/valeweir_fleet/peers.py
@@ -116,13 +116,24 @@
 
     def get_targets(self, own_host):
         """Return {host: address} of every router worth greeting."""
-        targets = {m.host: m.address for m in self.members.values()}
-        for peer in self.by_host.values():
-            if peer.address and (peer.live or peer.host in self.members):
-                targets[peer.host] = peer.address
+        targets = {p.host: p.address for p in self.by_host.values() if p.live}
+        targets |= {m.host: m.address for m in self.members.values()}
         targets.pop(own_host, None)
         return targets
 
+    def get_address(self, peer):
+        """Return where to send to a peer: as the platform names it, if it does."""
+        member = self.members.get(peer.host)
+        return member.address if member is not None else peer.address
+
+    def find_address(self, host):
+        """Return where to send to a host, or "" where that is unknown."""
+        member = self.members.get(host)
+        if member is not None:
+            return member.address
+        peer = self.by_host.get(host)
+        return peer.address if peer is not None else ""
+
     def _make_way(self, host, source, now):
         """Replace the host's incarnation; False where ``source`` is no later one."""
         if source in self._replaced_names:
--- a/packages/valeweir_router/src/valeweir_router/claims.py
+++ b/packages/valeweir_router/src/valeweir_router/claims.py
@@ -18,25 +18,27 @@
 )
 from valeweir_sharing.keys import Claimed, get_holders, judge_claim
 
+_PATIENCE_FOR_MAJORITY = 0.25
 _PATIENCE = 1.0
+_KEY_BYTES = 10
+_NUMBER_BYTES = 7
 _ALONE_AFTER = 3.0
 
 
 class Claim:
-    """A claim under way: who has answered what."""
+    """A claim under way: who was asked, and who has answered what."""
 
-    def __init__(self, key, request, holders):
-        self.key = key
-        self.request = request
+    def __init__(self, holders):
         self.holders = holders
+        self.asked = set()
         self.answers = {}
         self.settled = threading.Event()
 
     def note(self, host, answer):
         """Take in a holder's answer."""
-        if host in self.holders:
+        if host in self.asked:
             self.answers[host] = answer
-        everyone = len(self.answers) == len(self.holders)
+        everyone = len(self.answers) == len(self.asked)
         if everyone or self.judge() is not None:
             self.settled.set()
 
@@ -46,16 +48,35 @@
 
 
 def make_key(account, pool, text):
-    """Return the fleet-wide name of a caller's key."""
+    """Return the fleet-wide digest of a caller's key."""
     data = f"{account}\0{pool}\0{text}".encode()
-    return hashlib.blake2b(data, digest_size=12).hexdigest()
+    return hashlib.blake2b(data, digest_size=_KEY_BYTES).digest()
+
+
+def make_number(request_id):
+    """Return the number that stands for a request in claims."""
+    digest = hashlib.blake2b(request_id.encode(), digest_size=_NUMBER_BYTES).digest()
+    return int.from_bytes(digest, "big")
 
 
 def claim(state, key, request):
-    """Claim a key for a request; return None, or the `Refusal` to answer."""
+    """Claim a key for a request; return None, or the `Refusal` to answer.
+
+    A majority of the holders is asked first, the rest only if that does not
+    settle it: any two majorities share a holder, whichever they are.
+    """
     with state.lock:
-        entry = _begin(state, key, request)
-    entry.settled.wait(_PATIENCE)
+        entry = Claim(_rank_holders(state, key))
+        state.claims[(key, request)] = entry
+        majority = len(entry.holders) // 2 + 1
+        _ask(state, entry, entry.holders[:majority], key, request)
+    entry.settled.wait(_PATIENCE_FOR_MAJORITY)
+    with state.lock:
+        if entry.judge() is None:
+            entry.settled.clear()
+            _ask(state, entry, entry.holders[majority:], key, request)
+    if entry.judge() is None:
+        entry.settled.wait(_PATIENCE)
     with state.lock:
         state.claims.pop((key, request), None)
         verdict = entry.judge()
@@ -151,16 +172,20 @@
         logger.bind(learned_from=len(state.keys_learned)).info("keys known")
 
 
-def _begin(state, key, request):
+def _rank_holders(state, key):
+    """Return the key's holders, those first that will answer soonest."""
+    live = {peer.host for peer in state.peers.get_live()}
     holders = get_holders(key, _get_members(state))
-    entry = Claim(key, request, holders)
-    state.claims[(key, request)] = entry
-    for host in holders:
+    return sorted(holders, key=lambda h: (h != state.host, h not in live, h))
+
+
+def _ask(state, entry, hosts, key, request):
+    entry.asked.update(hosts)
+    for host in hosts:
         if host == state.host:
             entry.note(host, state.keys.claim(key, request, state.clock()))
         else:
             _send(state, host, KeyClaim, key=key, request=request)
-    return entry
 
 
 def _get_members(state):
@@ -169,7 +194,7 @@
 
 
 def _send(state, host, kind, **fields):
-    address = state.peers.get_targets(state.host).get(host)
-    if address is not None:
+    address = state.peers.find_address(host)
+    if address:
         message = kind(source=state.source, seq=state.next_seq(), **fields)
         state.links.send(address, message)
--- a/packages/valeweir_router/src/valeweir_router/gossip.py
+++ b/packages/valeweir_router/src/valeweir_router/gossip.py
@@ -10,6 +10,7 @@
 from valeweir_fleet.messages import (
     Ask,
     Digest,
+    Handover,
     History,
     HistoryQuery,
     Identity,
@@ -152,6 +153,10 @@
     leasing.answer_recall(state, offer.recall)
 
 
+def _handle_handover(state, peer, handover):
+    leasing.take_over(state, handover)
+
+
 def _handle_view_query(state, peer, query):
     if state.configuration.offset > query.offset:
         view = msgspec.msgpack.encode(state.configuration.get_view())
@@ -197,6 +202,7 @@
     Digest: _handle_digest,
     Ask: _handle_ask,
     Offer: _handle_offer,
+    Handover: _handle_handover,
     ViewQuery: _handle_view_query,
     ViewAnswer: _handle_view_answer,
     HistoryQuery: _handle_history_query,
@@ -277,9 +283,10 @@
 
 
 def _send(state, peer, kind, **fields):
-    if peer.address:
+    address = state.peers.get_address(peer)
+    if address:
         message = kind(source=state.source, seq=state.next_seq(), **fields)
-        state.links.send(peer.address, message)
+        state.links.send(address, message)
 
 
 def _get_clamp(state, pool):
--- a/packages/valeweir_router/src/valeweir_router/leasing.py
+++ b/packages/valeweir_router/src/valeweir_router/leasing.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 from valeweir import metrics
-from valeweir_fleet.messages import Ask, Offer
+from valeweir_fleet.messages import Ask, Handover, Offer
 from valeweir_sharing.accounts import Key
 from valeweir_sharing.grants import Want, plan_floats, plan_gifts
 from valeweir_sharing.leases import MARGIN, Table
@@ -16,6 +16,7 @@
 from . import scheduler
 
 ASK_GAP = 0.05
+_SILENT_INTERVALS = 2.2
 
 # -- holder ----------------------------------------------------------------
 
@@ -72,14 +73,12 @@
             },
             claims=claims,
         )
-        state.links.send(peer.address, ask)
+        state.links.send(state.peers.get_address(peer), ask)
 
 
 def hand_back(state, upstream, count):
     """Return free slots to their owner, which grants them anew at once."""
-    if state.owners.get(upstream) is None:
-        # Nobody to take them: no router of the domain is heard from, or slots
-        # are split for good.
+    if not _can_return(state, upstream):
         return
     given = state.holder.give_back(upstream, count)
     if not given:
@@ -300,6 +299,15 @@
     return pools
 
 
+def take_over(state, handover):
+    """Use the last owner's table, now or once the upstream is ours."""
+    now = state.clock()
+    state.handovers[handover.upstream] = (now, handover)
+    if handover.upstream in state.tables:
+        _use_handover(state, handover.upstream, now)
+        plan(state, state.upstreams[handover.upstream].pool)
+
+
 def expire_leases(state):
     """Take back the slots of holders that are gone."""
     now = state.clock()
@@ -331,6 +339,21 @@
     return [state.holder.held[n] for n in names if n in state.holder.held]
 
 
+def _can_return(state, upstream):
+    """Return whether the owner is there to take slots back.
+
+    What is handed to an owner that has died is idle until its tenure is
+    settled anew; so a short silence is enough to keep slots in use here.
+    """
+    owner = state.owners.get(upstream)
+    if owner == state.source:
+        return True
+    peer = state.peers.by_source.get(owner)
+    if peer is None or not peer.live:
+        return False
+    return state.clock() - peer.heard < _SILENT_INTERVALS * state.pace.get_interval()
+
+
 def _claim_own(state, upstream):
     table = state.tables.get(upstream)
     if table is not None:
@@ -367,15 +390,47 @@
             epoch = _get_next_epoch(state, name)
             state.tables[name] = Table(name, up.slots, epoch, settled_at)
             logger.bind(upstream=name, epoch=epoch).info("ownership taken")
+            _use_handover(state, name, now)
         elif mine:
             table.capacity = up.slots
         elif table is not None:
             del state.tables[name]
+            _hand_over(state, table, now)
             logger.bind(upstream=name).info("ownership given up")
     for name in [n for n in state.tables if n not in state.upstreams]:
         del state.tables[name]
 
 
+def _hand_over(state, table, now):
+    """Tell the next owner who holds what, so that it need not wait."""
+    peer = state.peers.by_source.get(state.owners.get(table.upstream))
+    if peer is None:
+        return
+    handover = Handover(
+        source=state.source,
+        seq=state.next_seq(),
+        upstream=table.upstream,
+        epoch=table.epoch,
+        wait=max(0.0, table.settled_at - now),
+        holders={h: entry.slots for h, entry in table.entries.items()},
+    )
+    state.links.send(state.peers.get_address(peer), handover)
+
+
+def _use_handover(state, upstream, now):
+    at, handover = state.handovers.pop(upstream, (0.0, None))
+    if handover is None or now - at > state.peers.patience:
+        return
+    held = state.holder.held.get(upstream)
+    if held is not None and held.epoch > handover.epoch:
+        # Another owner came after the one that sends this.
+        return
+    table = state.tables[upstream]
+    ready_at = at + handover.wait
+    table.take_over(handover.epoch, handover.holders, ready_at, now)
+    logger.bind(upstream=upstream, epoch=table.epoch).info("table taken over")
+
+
 def _get_next_epoch(state, upstream):
     held = state.holder.held.get(upstream)
     known = held.epoch if held is not None else 0
@@ -440,7 +495,7 @@
         grants=grants,
         recall=list(recall),
     )
-    state.links.send(peer.address, offer)
+    state.links.send(state.peers.get_address(peer), offer)
 
 
 def _assign_static(state):
--- a/packages/valeweir_router/src/valeweir_router/sessions.py
+++ b/packages/valeweir_router/src/valeweir_router/sessions.py
@@ -64,6 +64,9 @@
     prefix = f"{state.host}-{secrets.token_hex(4)}"
 
     def handle(request, reply):
+        if state.leaving:
+            # The caller's next request should reach a router that stays.
+            reply.close()
         request_id = f"{prefix}-{next(numbers)}"
         result = _admit(state, request, reply, request_id)
         if isinstance(result, Refusal):
@@ -204,12 +207,13 @@
         return
     ticket = served.ticket
     key = claims.make_key(ticket.account, ticket.pool, text)
-    refusal = claims.claim(state, key, ticket.id)
+    number = claims.make_number(ticket.id)
+    refusal = claims.claim(state, key, number)
     if refusal is not None:
         _end(served, refusal)
         return
     if _serve(state, connections, served) is Outcome.NOT_RUN:
-        claims.release(state, key, ticket.id)
+        claims.release(state, key, number)
 
 
 def _serve(state, connections, served):
--- a/packages/valeweir_router/src/valeweir_router/states.py
+++ b/packages/valeweir_router/src/valeweir_router/states.py
@@ -116,6 +116,7 @@
         self.holder = Holder(cfg["fleet"]["lease"])
         self.tables = {}
         self.owners = {}
+        self.handovers = {}
         self.last_tick = clock()
         self.last_ask = {}
         self.last_recall = {}
--- a/packages/valeweir_sharing/src/valeweir_sharing/keys.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/keys.py
@@ -26,8 +26,8 @@
 class Record(NamedTuple):
     """A claim of a key: the request that has it, and since when."""
 
-    key: str
-    request: str
+    key: bytes
+    request: int
     at: float
 
 
@@ -81,7 +81,7 @@
 
 def get_holders(key, members):
     """Return the hosts that hold a key."""
-    ranked = sorted(members, key=lambda h: (_hash(f"{key}|{h}"), h), reverse=True)
+    ranked = sorted(members, key=lambda h: (_hash(key + h.encode()), h), reverse=True)
     return ranked[:HOLDERS]
 
 
@@ -103,5 +103,5 @@
     return None
 
 
-def _hash(text):
-    return xxhash.xxh64_intdigest(text.encode())
+def _hash(data):
+    return xxhash.xxh64_intdigest(data)
--- a/packages/valeweir_sharing/src/valeweir_sharing/leases.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/leases.py
@@ -256,6 +256,22 @@
         entry = self.entries[holder]
         return Grant(self.upstream, self.epoch, entry.lease, entry.granted)
 
+    def take_over(self, epoch, holders, ready_at, now):
+        """Take in the last owner's table; slots not in it are free at ``ready_at``.
+
+        Parameters
+        ----------
+        epoch : int
+            The last owner's tenure; ours becomes higher if it is not.
+        holders : dict of str to int
+            Slots that holders may be using.
+        """
+        self.epoch = max(self.epoch, epoch + 1)
+        for holder, slots in holders.items():
+            if holder not in self.entries:
+                self.add_holder(holder, slots, now)
+        self.settled_at = min(self.settled_at, ready_at)
+
     def expire(self, now, lease_time):
         """Take back the leases of holders not heard from; return their names."""
         limit = now - lease_time - MARGIN
--- /dev/null
+++ b/packages/valeweir_standins/src/valeweir_standins/disturbances.py
@@ -0,0 +1,152 @@
+"""Faults that scenarios bring about while the load runs.
+
+Each is ``disturb(rig, begin, until, seed)``: it acts in the middle third of
+the window, so that figures before, during and after can be told apart.
+"""
+
+import random
+import signal
+import threading
+import time
+
+_PAUSE_MARGIN = 3.0
+_ROLL_GAP = 0.5
+
+
+def _sleep_until(moment):
+    time.sleep(max(0.0, moment - time.monotonic()))
+
+
+def _at_third(begin, until, number):
+    return begin + (until - begin) * number / 3
+
+
+def _find_owner(rig):
+    """Return the host that owns most slots of the engines."""
+    counts = {}
+    host = next(iter(rig.routers))
+    for row in rig.get_fleet(host)["upstreams"]:
+        owner = row["owner"].partition("#")[0]
+        if owner:
+            counts[owner] = counts.get(owner, 0) + row["slots"]
+    return max(sorted(counts), key=counts.get)
+
+
+def kill_owner(rig, begin, until, seed):
+    """Kill the router that owns most; start it again, empty."""
+    owner = _find_owner(rig)
+    _sleep_until(_at_third(begin, until, 1))
+    rig.routers[owner].send_signal(signal.SIGKILL)
+    rig.routers[owner].popen.wait()
+    _sleep_until(_at_third(begin, until, 2))
+    rig.start_router(owner)
+
+
+def pause_owner(rig, begin, until, seed):
+    """Freeze the router that owns most for longer than a lease."""
+    owner = _find_owner(rig)
+    _sleep_until(_at_third(begin, until, 1))
+    rig.routers[owner].send_signal(signal.SIGSTOP)
+    time.sleep(rig.lease + _PAUSE_MARGIN)
+    rig.routers[owner].send_signal(signal.SIGCONT)
+
+
+def _cut(rig, begin, until, seed, one_way):
+    domains = sorted({r.domain for r in rig.deployment.routers})
+    domain = random.Random(seed).choice(domains)
+    _sleep_until(_at_third(begin, until, 1))
+    rig.cuts.cut_off(domain, domains, one_way)
+    _sleep_until(_at_third(begin, until, 2))
+    rig.cuts.heal()
+
+
+def cut_domain(rig, begin, until, seed):
+    """Cut a domain's routers off from the others' both ways."""
+    _cut(rig, begin, until, seed, one_way=False)
+
+
+def cut_one_way(rig, begin, until, seed):
+    """Let a domain's routers hear the others without being heard."""
+    _cut(rig, begin, until, seed, one_way=True)
+
+
+def restart_rolling(rig, begin, until, seed):
+    """Stop and start every router, one after the other, as planned."""
+    _sleep_until(begin + 1.0)
+    for host in list(rig.routers):
+        rig.routers[host].send_signal(signal.SIGTERM)
+        rig.note_exit(host, rig.routers[host].popen.wait())
+        rig.start_router(host)
+        rig.wait_ready([host])
+        time.sleep(_ROLL_GAP)
+
+
+def restart_all(rig, begin, until, seed):
+    """Kill every router at once and start them all, empty."""
+    _sleep_until(_at_third(begin, until, 1))
+    for process in rig.routers.values():
+        process.send_signal(signal.SIGKILL)
+    for host in list(rig.routers):
+        rig.routers[host].popen.wait()
+        rig.start_router(host)
+
+
+def stop_platform(rig, begin, until, seed):
+    """Take the log and the membership list down for the whole window."""
+    for process in (rig.log, rig.membership):
+        rig.set_faults(process, outage=True)
+    _sleep_until(until)
+    for process in (rig.log, rig.membership):
+        rig.set_faults(process)
+
+
+def lose_appends(rig, begin, until, seed):
+    """Change weights through the API while the log loses answers."""
+    rng = random.Random(seed)
+    hosts = list(rig.routers)
+    while time.monotonic() < until - 2.0:
+        rig.set_faults(rig.log, lose_answer=1)
+        rig.change_weight(rng.choice(hosts), rng.choice(rig.deployment.accounts))
+        time.sleep(0.5)
+
+
+def drain_upstream(rig, begin, until, seed):
+    """Mark an engine as leaving through the API, and check that it empties."""
+    engine = next(u for u in rig.deployment.upstreams if u.kind == "engine")
+    _sleep_until(_at_third(begin, until, 1))
+    rig.set_upstream_state(engine.name, "leaving")
+    time.sleep(3.0)
+    address = rig.upstreams[engine.name].address
+    before = rig.get_json(address, "/stats")
+    _sleep_until(until)
+    after = rig.get_json(address, "/stats")
+    started = after["done"] + after["busy"] - before["done"] - before["busy"]
+    rig.findings["started_after_leaving"] = started
+
+
+def flap_upstream(rig, begin, until, seed):
+    """Kill an engine and start it again, several times."""
+    engine = next(u for u in rig.deployment.upstreams if u.kind == "engine")
+    _sleep_until(begin + 1.0)
+    while time.monotonic() < until - 4.0:
+        rig.upstreams[engine.name].send_signal(signal.SIGKILL)
+        rig.upstreams[engine.name].popen.wait()
+        time.sleep(1.0)
+        rig.start_upstream(engine.name)
+        time.sleep(2.0)
+
+
+SINGLE = (kill_owner, pause_owner, cut_domain, cut_one_way, stop_platform)
+
+
+def disturb_twice(rig, begin, until, seed):
+    """Bring about two faults at once, chosen by the seed."""
+    chosen = random.Random(seed).sample(SINGLE, 2)
+    rig.findings["faults"] = [f.__name__ for f in chosen]
+    threads = [
+        threading.Thread(target=f, args=(rig, begin, until, seed)) for f in chosen
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
--- a/packages/valeweir_standins/src/valeweir_standins/loads.py
+++ b/packages/valeweir_standins/src/valeweir_standins/loads.py
@@ -3,11 +3,12 @@
 import json
 import threading
 import time
+from http.client import HTTPException
 from typing import NamedTuple
 
 import numpy as np
 from urllib3.connection import HTTPConnection
-from urllib3.exceptions import HTTPError
+from urllib3.exceptions import HTTPError, NewConnectionError
 from valeweir.models import CLASS_HEADER, OUTCOME_HEADER, WorkClass
 
 from .rigs import get_account_key
@@ -15,6 +16,7 @@
 
 _TIMEOUT = 120.0
 _PAUSE_AFTER_REFUSAL = 0.05
+_PAUSE_BEFORE_RESEND = 0.2
 
 
 class End(NamedTuple):
@@ -60,14 +62,14 @@
 class Load:
     """All workers of an experiment and what they saw."""
 
-    def __init__(self, model, service, workers, costs=(0.25, 1.0)):
+    def __init__(self, model, service, workers, entries, costs=(0.25, 1.0)):
         self.model = model
         self.service = service
         self.workers = workers
+        self.entries = entries
         self.costs = costs
         self.ends = []
         self.outstanding = 0
-        self.hungry = {}
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         self._threads = []
@@ -103,18 +105,32 @@
                 return
             number += 1
             call = self._prepare(worker, rng, number)
-            with self._lock:
-                self.outstanding += 1
-            end, conn = self._send(worker, call, conn)
-            with self._lock:
-                self.outstanding -= 1
-                self.ends.append(end)
+            end, conn = self._send_counted(worker, call, conn)
+            if end.outcome == "unknown" and call.key:
+                # As a careful caller does: the same key, through another router.
+                self._stopped.wait(_PAUSE_BEFORE_RESEND)
+                conn.close()
+                conn = _connect(self._get_other(worker.address, rng))
+                end, conn = self._send_counted(worker, call, conn)
             if end.outcome != "complete" or end.status != 200:
                 self._stopped.wait(_PAUSE_AFTER_REFUSAL)
             if worker.think:
                 self._stopped.wait(worker.think)
         conn.close()
 
+    def _send_counted(self, worker, call, conn):
+        with self._lock:
+            self.outstanding += 1
+        end, conn = self._send(worker, call, conn)
+        with self._lock:
+            self.outstanding -= 1
+            self.ends.append(end)
+        return end, conn
+
+    def _get_other(self, address, rng):
+        others = [entry for entry in self.entries if entry != address] or [address]
+        return others[int(rng.integers(len(others)))]
+
     def _prepare(self, worker, rng, number):
         mu = np.log(worker.mix.mean_tokens) - worker.mix.sigma**2 / 2
         tokens = max(1, int(rng.lognormal(mu, worker.mix.sigma)))
@@ -152,11 +168,17 @@
             outcome = resp.headers.get(OUTCOME_HEADER, default)
             if status == 200:
                 fault, cost = self._check(worker, call, body)
-        except (OSError, HTTPError):
-            # A closed connection counts as an answer that is visibly cut.
-            fault = "cut"
+        except TimeoutError:
+            fault = "lost"
             conn.close()
             conn = _connect(worker.address)
+        except (OSError, HTTPError, HTTPException) as exc:
+            # Where the router is gone the balancer would send us elsewhere.
+            refused = isinstance(exc, NewConnectionError)
+            fault = "" if refused else "cut"
+            outcome = "refused" if refused else "unknown"
+            conn.close()
+            conn = _connect(self._get_other(worker.address, np.random.default_rng()))
         end = End(
             worker.account,
             worker.mix.work_class.value,
--- a/packages/valeweir_standins/src/valeweir_standins/scenarios.py
+++ b/packages/valeweir_standins/src/valeweir_standins/scenarios.py
@@ -9,6 +9,7 @@
 
 from valeweir.models import WorkClass
 
+from . import disturbances
 from .loads import Mix, Worker
 
 MEAN_TOKENS = 50.0
@@ -25,8 +26,10 @@
 class Scenario(NamedTuple):
     """One row of the table.
 
-    ``measured_from`` is the part of the window, 0 to 1, after which every
-    account that ``is_backlogged`` names has requests waiting.
+    ``crash`` marks scenarios in which killed processes may visibly cut
+    answers; ``relays`` those that cut links. ``measured_from`` is the part of
+    the window, 0 to 1, after which every account that ``is_backlogged`` names
+    has requests waiting.
     """
 
     name: str
@@ -35,6 +38,8 @@
     disturb: Any
     is_backlogged: Any = _everyone
     measured_from: float = 0.0
+    crash: bool = False
+    relays: bool = False
 
 
 def do_nothing(rig, begin, until, seed):
@@ -137,6 +142,78 @@
             measured_from=0.5,
         ),
         _row("mixed", "reading, chat and booking calls together", _make_mixed),
+        _row(
+            "owner-kill",
+            "the router that owns most is killed and restarted",
+            _make_mixed,
+            disturbances.kill_owner,
+            crash=True,
+        ),
+        _row(
+            "owner-pause",
+            "the router that owns most is frozen past its lease",
+            _make_mixed,
+            disturbances.pause_owner,
+        ),
+        _row(
+            "cut-domain",
+            "a domain's routers are cut off from the others",
+            _make_mixed,
+            disturbances.cut_domain,
+            relays=True,
+        ),
+        _row(
+            "one-way-cut",
+            "a domain's routers hear the others but are not heard",
+            _make_mixed,
+            disturbances.cut_one_way,
+            relays=True,
+        ),
+        _row(
+            "rolling-restart",
+            "every router is stopped as planned and started again",
+            _make_mixed,
+            disturbances.restart_rolling,
+        ),
+        _row(
+            "restart-all",
+            "all routers are killed at once and started empty",
+            _make_mixed,
+            disturbances.restart_all,
+            crash=True,
+        ),
+        _row(
+            "log-outage",
+            "log and membership list are down for the whole run",
+            _make_mixed,
+            disturbances.stop_platform,
+        ),
+        _row(
+            "lost-append",
+            "the log loses answers while operators change weights",
+            _make_mixed,
+            disturbances.lose_appends,
+        ),
+        _row(
+            "leaving-upstream",
+            "an engine is marked as leaving",
+            _make_mixed,
+            disturbances.drain_upstream,
+        ),
+        _row(
+            "upstream-flap",
+            "an engine is killed and started several times",
+            _make_mixed,
+            disturbances.flap_upstream,
+        ),
+        _row(
+            "two-faults",
+            "two faults at once, chosen by the seed",
+            _make_mixed,
+            disturbances.disturb_twice,
+            crash=True,
+            relays=True,
+        ),
     )
 }
 
