--- a/packages/valeweir_cli/src/valeweir_cli/bench.py
+++ b/packages/valeweir_cli/src/valeweir_cli/bench.py
@@ -7,6 +7,7 @@
 from valeweir_standins.deployments import get_deployment
 from valeweir_standins.experiments import Setup, run_experiment
 from valeweir_standins.scenarios import SCENARIOS
+from valeweir_standins.slopes import Size, measure
 
 _BREACH = 1
 
@@ -66,6 +67,20 @@
         raise SystemExit(_BREACH)
 
 
+@bench.command()
+@click.option("--peers", default=48, show_default=True, help="Digest partners.")
+@click.option("--domains", default=19, show_default=True)
+@click.option("--accounts", default=530, show_default=True)
+@click.option("--backlogged", default=53, show_default=True)
+@click.option("--pools", default=12, show_default=True)
+@click.option("--upstreams", default=400, show_default=True, help="Of the domain.")
+@click.option("--reported", default=40, show_default=True, help="Accounts a digest.")
+def slopes(**size):
+    """Measure what control costs one daemon in a fleet of a given size."""
+    for name, value in measure(Size(**size)).items():
+        click.echo(f"{name:30} {value}")
+
+
 @click.command()
 @click.option("--seconds", default=30.0, show_default=True)
 @click.option("--deployment", type=click.Choice(["hooghly", "kat"]), default="hooghly")
--- a/packages/valeweir_router/src/valeweir_router/leasing.py
+++ b/packages/valeweir_router/src/valeweir_router/leasing.py
@@ -3,6 +3,7 @@
 Every function expects the state's lock to be held.
 """
 
+import collections
 import time
 
 from loguru import logger
@@ -192,13 +193,7 @@
     now = state.clock()
     sources = _get_member_sources(state)
     members = [(host, domain) for host, (_, domain) in sources.items()]
-    state.owners = {}
-    for up in state.upstreams.values():
-        size = len([n for n in state.pools[up.pool] if _same_domain(state, n, up)])
-        group = get_group(up.name, up.pool, up.domain, size)
-        host = choose_owner(group, get_candidates(up.domain, members))
-        if host is not None:
-            state.owners[up.name] = sources[host][0]
+    state.owners = _choose_owners(state, sources, members)
     _update_tables(state, now)
     metrics.owned_upstreams.set(len(state.tables))
 
@@ -206,13 +201,13 @@
 def plan(state, pool):
     """Grant the free slots of the upstreams we own in a pool."""
     now = state.clock()
-    wants = _get_wants(state, pool)
-    if not wants:
-        return
     free = _get_free(state, pool, now)
     if not free:
         recall_idle(state, pool)
         return
+    wants = _get_wants(state, pool)
+    if not wants:
+        return
     gifts = plan_gifts(pool, free, wants, state.ledger, _prefer_for(state))
     deliver(state, gifts, now)
 
@@ -222,10 +217,11 @@
     now = state.clock()
     if now - state.last_recall.get(pool, 0.0) < ASK_GAP:
         return
+    if not state.ledger.get_waiting(pool):
+        return
     idle = {}
-    for name in state.pools.get(pool, ()):
-        table = state.tables.get(name)
-        for holder, entry in table.entries.items() if table else ():
+    for name in state.owned.get(pool, ()):
+        for holder, entry in state.tables[name].entries.items():
             if holder != state.source and entry.idle:
                 idle.setdefault(holder, []).append(name)
     for holder, names in idle.items():
@@ -377,8 +373,20 @@
     return others if state.leaving else [state.source, *others]
 
 
-def _same_domain(state, name, up):
-    return state.upstreams[name].domain == up.domain
+def _choose_owners(state, sources, members):
+    """Return {upstream: incarnation of its owner}; one choice for each group."""
+    sizes = collections.Counter((u.pool, u.domain) for u in state.upstreams.values())
+    chosen = {}
+    owners = {}
+    for up in state.upstreams.values():
+        size = sizes[up.pool, up.domain]
+        group = get_group(up.name, up.pool, up.domain, size)
+        if group not in chosen:
+            candidates = get_candidates(up.domain, members)
+            chosen[group] = choose_owner(group, candidates)
+        if chosen[group] is not None:
+            owners[up.name] = sources[chosen[group]][0]
+    return owners
 
 
 def _update_tables(state, now):
@@ -399,6 +407,9 @@
             logger.bind(upstream=name).info("ownership given up")
     for name in [n for n in state.tables if n not in state.upstreams]:
         del state.tables[name]
+    state.owned = {}
+    for name in state.tables:
+        state.owned.setdefault(state.upstreams[name].pool, []).append(name)
 
 
 def _hand_over(state, table, now):
@@ -446,11 +457,10 @@
 
 def _get_free(state, pool, now):
     free = {}
-    for name in state.pools.get(pool, ()):
-        table = state.tables.get(name)
-        if table is None or state.upstreams[name].leaving:
+    for name in state.owned.get(pool, ()):
+        if state.upstreams[name].leaving:
             continue
-        count = table.get_free(now)
+        count = state.tables[name].get_free(now)
         if count:
             free[name] = count
     return free
--- a/packages/valeweir_router/src/valeweir_router/states.py
+++ b/packages/valeweir_router/src/valeweir_router/states.py
@@ -92,6 +92,7 @@
     pools : dict of str to list of upstream names
     owners : dict of upstream to the incarnation that leases out its slots
     tables : dict of upstream to Table, for those this router owns
+    owned : dict of pool to list of those upstreams
     """
 
     def __init__(self, cfg, source, clock=get_lease_time, seed=None):
@@ -116,6 +117,7 @@
         self.holder = Holder(cfg["fleet"]["lease"])
         self.tables = {}
         self.owners = {}
+        self.owned = {}
         self.handovers = {}
         self.last_tick = clock()
         self.last_ask = {}
--- a/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
@@ -46,12 +46,18 @@
 class _Source:
     """What another incarnation reported last."""
 
-    __slots__ = ("live", "reports", "seq")
+    __slots__ = ("live", "reports", "seq", "waiting")
 
     def __init__(self):
         self.seq = -1
         self.live = True
         self.reports = {}
+        # {pool: {account: requests}}, for the demand that owners ask for.
+        self.waiting = {}
+
+    def set_waiting(self, key, count):
+        """Note how many requests of ``key`` wait there."""
+        _set_count(self.waiting, key, count)
 
 
 class Ledger:
@@ -77,6 +83,7 @@
         self.elsewhere = {}
         self.dirty = set()
         self.regressions = 0
+        self._own_waiting = {}
         self._others = {}
         self._pending = {}
         self._pending_sum = {}
@@ -94,11 +101,7 @@
 
     def get_own_waiting(self, pool):
         """Return {account: requests waiting at this router}."""
-        return {
-            key.account: usage.waiting
-            for key, usage in self.own.items()
-            if key.pool == pool and usage.waiting
-        }
+        return dict(self._own_waiting.get(pool, {}))
 
     def get_waiting(self, pool):
         """Return {account: requests waiting anywhere in the fleet}."""
@@ -130,6 +133,7 @@
             if not self.elsewhere.get(key.pool, {}).get(key.account):
                 self._lift_entrant(key)
         usage.waiting += delta
+        _set_count(self._own_waiting, key, usage.waiting)
         self.dirty.add(key)
 
     def charge(self, key, estimate):
@@ -218,14 +222,14 @@
     def merge_waiting(self, source, pool, waiting):
         """Replace what waits at ``source`` in ``pool``; {account: count}."""
         state = self.sources.setdefault(source, _Source())
-        accounts = {k.account for k in state.reports if k.pool == pool}
-        for account in accounts | set(waiting):
+        for account in set(state.waiting.get(pool, ())) | set(waiting):
             key = Key(pool, account)
             old = state.reports.get(key, Report(0.0, 0.0, 0.0, 0))
             count = waiting.get(account, 0)
             if state.live:
                 self._add_elsewhere(key, count - old.waiting)
             state.reports[key] = old._replace(waiting=count)
+            state.set_waiting(key, count)
 
     def take_demand(self, source, key):
         """Note that one request waiting at ``source`` has been given a slot."""
@@ -234,6 +238,7 @@
         if report is None or report.waiting <= 0:
             return
         state.reports[key] = report._replace(waiting=report.waiting - 1)
+        state.set_waiting(key, report.waiting - 1)
         if state.live:
             self._add_elsewhere(key, -1)
 
@@ -242,11 +247,7 @@
         state = self.sources.get(source)
         if state is None or not state.live:
             return {}
-        return {
-            key.account: report.waiting
-            for key, report in state.reports.items()
-            if key.pool == pool and report.waiting > 0
-        }
+        return state.waiting.get(pool, {})
 
     def set_live(self, source, live):
         """Stop or resume counting what waits and runs at ``source``."""
@@ -341,6 +342,7 @@
         )
         self._add_elsewhere(key, report.waiting - old.waiting)
         state.reports[key] = report
+        state.set_waiting(key, report.waiting)
         if report.lift > self.lifts.get(key, 0.0):
             self.lifts[key] = report.lift
 
@@ -349,11 +351,15 @@
             self._others[key] = self._others.get(key, 0.0) + amount
 
     def _add_elsewhere(self, key, amount):
-        if not amount:
-            return
-        pool = self.elsewhere.setdefault(key.pool, {})
-        count = pool.get(key.account, 0) + amount
-        if count > 0:
-            pool[key.account] = count
-        else:
-            pool.pop(key.account, None)
+        if amount:
+            count = self.elsewhere.get(key.pool, {}).get(key.account, 0) + amount
+            _set_count(self.elsewhere, key, count)
+
+
+def _set_count(counts, key, count):
+    """Set ``counts[pool][account]``; what is not positive is left out."""
+    pool = counts.setdefault(key.pool, {})
+    if count > 0:
+        pool[key.account] = count
+    else:
+        pool.pop(key.account, None)
--- /dev/null
+++ b/packages/valeweir_standins/src/valeweir_standins/slopes.py
@@ -0,0 +1,235 @@
+"""Slopes: what control costs one daemon as the fleet grows.
+
+One real router state is given peers, accounts, pools and upstreams in the
+numbers asked for; its links only encode and count. The other routers are
+digests made up here, decoded and handled as if they had come off the wire.
+No process is started, so a few seconds measure a fleet of any size.
+"""
+
+import random
+import resource
+import time
+from typing import NamedTuple
+
+from valeweir.resources import Change
+from valeweir.settings import prepare_settings
+from valeweir_fleet.messages import (
+    Ask,
+    Digest,
+    Identity,
+    PoolReport,
+    decode_message,
+    encode_message,
+)
+from valeweir_router import gossip
+from valeweir_router.states import RouterState
+from valeweir_sharing.leases import Claim
+
+_ROUNDS = 20
+_NUMBER = "a"
+
+
+class Size(NamedTuple):
+    """A fleet as one router sees it.
+
+    ``peers`` are those it exchanges digests with; ``reported`` the accounts a
+    digest of one peer names; ``upstreams`` those of its failure domain.
+    """
+
+    peers: int
+    domains: int
+    accounts: int
+    backlogged: int
+    pools: int
+    upstreams: int
+    reported: int
+
+
+class CountingLinks:
+    """Encodes what would be sent, and counts it."""
+
+    def __init__(self):
+        self.address = "127.0.0.1:1"
+        self.sent_bytes = 0
+        self.messages = 0
+
+    def send(self, address, message):
+        """Count a message."""
+        self.sent_bytes += len(encode_message(message))
+        self.messages += 1
+
+    def reset(self):
+        """Start counting anew."""
+        self.sent_bytes = self.messages = 0
+
+
+class Clock:
+    """A clock that the measurement moves."""
+
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        """Return the time in seconds."""
+        return self.now
+
+
+def measure(size, seed=1):
+    """Return the control cost of one router at a `Size`, as a dict."""
+    rng = random.Random(seed)
+    clock = Clock()
+    state = _make_state(size, clock, rng)
+    before = _get_memory()
+    streams = _make_streams(state, size, rng)
+    _exchange(state, streams, clock, 1)
+    links = state.links
+    _exchange(state, streams, clock, 2)
+    links.reset()
+    cpu = _exchange(state, streams, clock, _ROUNDS)
+    received = sum(len(data) for stream in streams for data in stream)
+    rounds_in_stream = len(streams[0])
+    return {
+        **size._asdict(),
+        "sent_bytes_per_interval": round(links.sent_bytes / _ROUNDS),
+        "received_bytes_per_interval": round(received / rounds_in_stream),
+        "messages_sent_per_interval": round(links.messages / _ROUNDS, 1),
+        "tick_cpu_ms": round(cpu["tick"] * 1000 / _ROUNDS, 3),
+        "handle_cpu_ms_per_digest": round(
+            cpu["handle"] * 1000 / _ROUNDS / max(1, size.peers), 4
+        ),
+        "ask_cpu_ms": round(_measure_asks(state, size, clock) * 1000, 4),
+        "state_mb": round((_get_memory() - before) / 1024, 1),
+        "process_mb": round(_get_memory() / 1024, 1),
+    }
+
+
+def _make_state(size, clock, rng):
+    cfg = prepare_settings(
+        {
+            "host": "r0",
+            "domain": "d0",
+            "callers": {"address": "127.0.0.1:0"},
+            "admin": {"address": "127.0.0.1:0"},
+            "fleet": {"address": "127.0.0.1:0", "interval": 0.5, "lease": 30.0},
+            "platform": {"log": "http://x", "membership": "http://x"},
+        },
+        {},
+    )
+    state = RouterState(cfg, f"r0#{_NUMBER}", clock, seed=1)
+    state.links = CountingLinks()
+    state.history_known = state.keys.complete = state.config_known = True
+    offset = 0
+    for number in range(size.accounts):
+        spec = {"partner": "p", "key_hashes": [f"{number:064x}"]}
+        offset = _fold(state, offset, "client-accounts", f"account-{number}", spec)
+    for number in range(size.upstreams):
+        spec = {"partner": "p", "pool": f"model-{number % size.pools}"}
+        spec |= {"kind": "engine", "domain": "d0", "slots": 46}
+        spec |= {"address": "127.0.0.1:9"}
+        offset = _fold(state, offset, "upstreams", f"upstream-{number}", spec)
+    gossip.apply_configuration(state)
+    state.seq = 0
+    return state
+
+
+def _fold(state, offset, kind, name, spec):
+    change = Change(id=f"{kind}/{name}", kind=kind, name=name, base=0, spec=spec)
+    state.configuration.fold(offset, change)
+    return offset + 1
+
+
+def _make_streams(state, size, rng):
+    """Return, for each peer, the digests of a few intervals, encoded."""
+    numbers = list(state.account_names)
+    streams = []
+    for peer in range(1, size.peers + 1):
+        served = {}
+        stream = []
+        mine = rng.sample(numbers, min(size.reported, len(numbers)))
+        for seq in range(1, _ROUNDS + 5):
+            pools = {}
+            for account in mine:
+                pool = f"model-{account % size.pools}"
+                served[account] = served.get(account, 0) + rng.randint(50, 5000)
+                waiting = rng.randint(0, 5) if account < size.backlogged else 0
+                pools.setdefault(pool, {})[account] = (
+                    served[account],
+                    rng.randint(0, 500),
+                    rng.randint(0, 5),
+                    waiting,
+                )
+            digest = Digest(
+                source=f"r{peer}#{_NUMBER}",
+                seq=seq,
+                sent_at=1000.0 + seq,
+                echo=1000.0 + seq,
+                leaving=False,
+                config_offset=state.configuration.offset,
+                identity=Identity("d0", f"10.0.0.{peer}:1") if seq == 1 else None,
+                whole=seq == 1,
+                pools=[PoolReport(p, 100, rows) for p, rows in pools.items()],
+                claims=[],
+                grants=[],
+            )
+            stream.append(encode_message(digest))
+        streams.append(stream)
+    state.streams_at = 0
+    return streams
+
+
+def _exchange(state, streams, clock, rounds):
+    """Let digests come and ticks pass; return processor seconds of each."""
+    cpu = {"tick": 0.0, "handle": 0.0}
+    for _ in range(rounds):
+        clock.now += 1.0
+        place = state.streams_at
+        state.streams_at += 1
+        started = time.process_time()
+        for stream in streams:
+            if place < len(stream):
+                message, _ = decode_message(stream[place])
+                gossip.handle(state, message)
+        middle = time.process_time()
+        _serve_some(state)
+        begun = time.process_time()
+        gossip.tick(state)
+        cpu["handle"] += middle - started
+        cpu["tick"] += time.process_time() - begun
+    return cpu
+
+
+def _serve_some(state):
+    """Charge what a router at the size to come dispatches in a second."""
+    keys = list(state.ledger.sources.values())[:1]
+    rows = list(keys[0].reports)[:40] if keys else []
+    for key in rows:
+        state.ledger.charge(key, 240.0)
+        state.ledger.settle(key, 240.0, 250.0)
+
+
+def _measure_asks(state, size, clock):
+    """Return processor seconds of one hand-back with its grant."""
+    if not state.tables or size.peers < 1:
+        return 0.0
+    count = 200
+    names = sorted(state.tables)
+    started = time.process_time()
+    for number in range(count):
+        name = names[number % len(names)]
+        table = state.tables[name]
+        ask = Ask(
+            source=f"r1#{_NUMBER}",
+            seq=100_000 + number,
+            sent_at=clock.now,
+            pool=state.upstreams[name].pool,
+            waiting={1: 3, 2: 4},
+            claims=[Claim(name, table.epoch, 1, number, 1, 0)],
+        )
+        message, _ = decode_message(encode_message(ask))
+        gossip.handle(state, message)
+    return (time.process_time() - started) / count
+
+
+def _get_memory():
+    """Return the peak resident size in KiB."""
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
