--- a/packages/valeweir_cli/src/valeweir_cli/bench.py
+++ b/packages/valeweir_cli/src/valeweir_cli/bench.py
@@ -6,6 +6,7 @@
 from tqdm import tqdm
 from valeweir_standins.deployments import get_deployment
 from valeweir_standins.experiments import Setup, run_experiment
+from valeweir_standins.paths import measure_path
 from valeweir_standins.scenarios import SCENARIOS
 from valeweir_standins.slopes import Size, measure
 
@@ -67,6 +68,13 @@
         raise SystemExit(_BREACH)
 
 
+@bench.command()
+def path():
+    """Measure what one router adds to a call to one engine."""
+    for name, value in measure_path().items():
+        click.echo(f"{name:24} {value}")
+
+
 @bench.command()
 @click.option("--peers", default=48, show_default=True, help="Digest partners.")
 @click.option("--domains", default=19, show_default=True)
--- a/packages/valeweir_cli/src/valeweir_cli/main.py
+++ b/packages/valeweir_cli/src/valeweir_cli/main.py
@@ -7,6 +7,7 @@
 from valeweir.exceptions import SettingsError
 from valeweir.settings import load_settings
 
+from . import operate
 from .bench import bench, demo
 from .standins import standin
 
@@ -40,6 +41,16 @@
 main.add_command(bench)
 main.add_command(demo)
 main.add_command(standin)
+for command in (
+    operate.get,
+    operate.apply,
+    operate.diff,
+    operate.delete,
+    operate.watch,
+    operate.drain,
+    operate.status,
+):
+    main.add_command(command)
 
 if __name__ == "__main__":
     main()
--- a/packages/valeweir_router/src/valeweir_router/router.py
+++ b/packages/valeweir_router/src/valeweir_router/router.py
@@ -64,9 +64,9 @@
         logger.info("stopping")
         deadline = time.monotonic() + stop["limit"]
         self._wait(time.monotonic() + stop["balancer_wait"], lambda: False)
-        self._wait(deadline, lambda: state.inflight == 0)
         with state.lock:
             state.refusing = True
+        self._wait(deadline, lambda: state.inflight == 0)
         left = state.inflight
         self._end()
         logger.bind(cut=left).info("stopped")
--- a/packages/valeweir_router/src/valeweir_router/states.py
+++ b/packages/valeweir_router/src/valeweir_router/states.py
@@ -169,7 +169,8 @@
 
     def get_slack(self, pool):
         """Return the hand-back slack in cost per weight."""
-        return self.cfg["sharing"]["slack"] * self.ledger.get_unit(pool)
+        slack = self.cfg["sharing"]["slack"] * self.pace.pressure
+        return slack * self.ledger.get_unit(pool)
 
     def next_seq(self):
         """Return the number of the next message sent."""
--- a/packages/valeweir_router/tests/test_promises.py
+++ b/packages/valeweir_router/tests/test_promises.py
@@ -1,6 +1,7 @@
 import threading
 import unittest
 
+import urllib3
 from fleets import Fleet, until
 
 
@@ -48,6 +49,30 @@
             caller.join()
             self.assertEqual(answers[0].status, 200)
 
+    def test_stop_ends_though_callers_keep_coming(self):
+        """Found on the bench: a closed loop of callers held a stop up for ever."""
+        with Fleet() as fleet:
+            fleet.set_faults(fleet.engine, late=0.05)
+            ended = threading.Event()
+            statuses = []
+
+            def keep_calling():
+                while not ended.is_set():
+                    try:
+                        statuses.append(fleet.chat().status)
+                    except urllib3.exceptions.HTTPError:
+                        return
+
+            callers = [threading.Thread(target=keep_calling) for _ in range(4)]
+            for caller in callers:
+                caller.start()
+            until(lambda: len(statuses) > 4)
+            self.assertEqual(fleet.router.stop(), 0)
+            ended.set()
+            for caller in callers:
+                caller.join()
+            self.assertLessEqual(set(statuses), {200, 503})
+
     def test_stopping_router_is_not_ready(self):
         with Fleet() as fleet:
             path = "/readyz"
--- a/packages/valeweir_sharing/src/valeweir_sharing/pace.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/pace.py
@@ -4,18 +4,25 @@
 _SHRINK = 0.95
 _COMFORT = 0.8
 _MEMORY = 0.3
+_MOST_PRESSURE = 8.0
 INTERVALS_IN_LEASE = 6
 
 
 class Pace:
-    """The interval between digests.
+    """The interval between digests, and the pressure to move fewer slots.
 
-    It is stretched while more than the budget goes out, up to a sixth of a
-    lease, and shrinks again, down to the setting, when there is room.
+    While more than the budget goes out, the interval is stretched, up to a
+    sixth of a lease; when that is not enough, pressure widens the hand-back
+    slack. Both go back when there is room, pressure first.
 
     Parameters
     ----------
     cfg : FleetSettings
+
+    Attributes
+    ----------
+    pressure : float
+        Factor on the slack, from 1 to 8.
     """
 
     def __init__(self, cfg):
@@ -25,6 +32,7 @@
         self._interval = self._shortest
         self._last = None
         self._rate = 0.0
+        self.pressure = 1.0
 
     def get_interval(self):
         """Return seconds until the next digest."""
@@ -38,6 +46,18 @@
         rate = (sent_bytes - last[0]) / (now - last[1])
         self._rate += _MEMORY * (rate - self._rate)
         if self._rate > self._budget:
-            self._interval = min(self._interval * _STRETCH, self._longest)
+            self._save()
         elif self._rate < _COMFORT * self._budget:
+            self._relax()
+
+    def _save(self):
+        if self._interval < self._longest:
+            self._interval = min(self._interval * _STRETCH, self._longest)
+        else:
+            self.pressure = min(self.pressure * _STRETCH, _MOST_PRESSURE)
+
+    def _relax(self):
+        if self.pressure > 1.0:
+            self.pressure = max(self.pressure * _SHRINK, 1.0)
+        else:
             self._interval = max(self._interval * _SHRINK, self._shortest)
--- a/packages/valeweir_sharing/tests/test_pace.py
+++ b/packages/valeweir_sharing/tests/test_pace.py
@@ -29,6 +29,20 @@
                 self.assertGreaterEqual(interval, low - 1e-9)
                 self.assertLessEqual(interval, high + 1e-9)
 
+    def test_pressure_comes_after_the_interval_and_goes_first(self):
+        pace = Pace(CFG)
+        now = sent = 0.0
+        seen = []
+        for rate in [3000] * 40 + [100] * 200:
+            pace.note(sent, now)
+            now += pace.get_interval()
+            sent += rate * pace.get_interval()
+            seen.append((pace.get_interval(), pace.pressure))
+        self.assertEqual(seen[39], (5.0 / 6, 8.0))
+        self.assertEqual(seen[-1], (0.5, 1.0))
+        for interval, pressure in seen:
+            self.assertTrue(pressure == 1.0 or interval == 5.0 / 6)
+
     def test_counter_that_goes_back_is_ignored(self):
         pace = Pace(CFG)
         pace.note(10_000, 0.0)
--- a/packages/valeweir_standins/src/valeweir_standins/loads.py
+++ b/packages/valeweir_standins/src/valeweir_standins/loads.py
@@ -15,6 +15,7 @@
 from .upstreams import make_text
 
 _TIMEOUT = 120.0
+_NOT_READY = 503
 _PAUSE_AFTER_REFUSAL = 0.05
 _PAUSE_BEFORE_RESEND = 0.2
 
@@ -95,7 +96,7 @@
 
     def _run(self, worker):
         rng = np.random.default_rng(worker.seed)
-        conn = _connect(worker.address)
+        conn = connect(worker.address)
         number = 0
         delay = worker.starts
         if delay and self._stopped.wait(delay):
@@ -104,14 +105,18 @@
             if time.monotonic() - self.started > worker.ends:
                 return
             number += 1
-            call = self._prepare(worker, rng, number)
+            call = self.prepare(worker, rng, number)
             end, conn = self._send_counted(worker, call, conn)
             if end.outcome == "unknown" and call.key:
                 # As a careful caller does: the same key, through another router.
                 self._stopped.wait(_PAUSE_BEFORE_RESEND)
                 conn.close()
-                conn = _connect(self._get_other(worker.address, rng))
+                conn = connect(self._get_other(worker.address, rng))
                 end, conn = self._send_counted(worker, call, conn)
+            if end.status == _NOT_READY:
+                # As behind a balancer: the next request goes to another router.
+                conn.close()
+                conn = connect(self._get_other(worker.address, rng))
             if end.outcome != "complete" or end.status != 200:
                 self._stopped.wait(_PAUSE_AFTER_REFUSAL)
             if worker.think:
@@ -121,7 +126,7 @@
     def _send_counted(self, worker, call, conn):
         with self._lock:
             self.outstanding += 1
-        end, conn = self._send(worker, call, conn)
+        end, conn = self.send(worker, call, conn)
         with self._lock:
             self.outstanding -= 1
             self.ends.append(end)
@@ -131,7 +136,8 @@
         others = [entry for entry in self.entries if entry != address] or [address]
         return others[int(rng.integers(len(others)))]
 
-    def _prepare(self, worker, rng, number):
+    def prepare(self, worker, rng, number):
+        """Return the next call of a worker."""
         mu = np.log(worker.mix.mean_tokens) - worker.mix.sigma**2 / 2
         tokens = max(1, int(rng.lognormal(mu, worker.mix.sigma)))
         text = f"{worker.account} {worker.seed} {number} " + "x" * 40
@@ -155,7 +161,8 @@
         expected = make_text(text, tokens)
         return _Call("POST", "/v1/chat/completions", headers, data, "", expected)
 
-    def _send(self, worker, call, conn):
+    def send(self, worker, call, conn):
+        """Send a call; return its `End` and the connection to go on with."""
         sent = time.monotonic()
         outcome, fault, cost, status, first = "unknown", "", 0.0, 0, 0.0
         try:
@@ -171,14 +178,14 @@
         except TimeoutError:
             fault = "lost"
             conn.close()
-            conn = _connect(worker.address)
+            conn = connect(worker.address)
         except (OSError, HTTPError, HTTPException) as exc:
             # Where the router is gone the balancer would send us elsewhere.
             refused = isinstance(exc, NewConnectionError)
             fault = "" if refused else "cut"
             outcome = "refused" if refused else "unknown"
             conn.close()
-            conn = _connect(self._get_other(worker.address, np.random.default_rng()))
+            conn = connect(self._get_other(worker.address, np.random.default_rng()))
         end = End(
             worker.account,
             worker.mix.work_class.value,
@@ -220,7 +227,8 @@
     expected: str | None
 
 
-def _connect(address):
+def connect(address):
+    """Return a connection to a router; it opens at the first request."""
     host, _, port = address.rpartition(":")
     return HTTPConnection(host, int(port), timeout=_TIMEOUT)
 
