--- a/packages/valeweir/src/valeweir/settings.py
+++ b/packages/valeweir/src/valeweir/settings.py
@@ -15,6 +15,7 @@
 Url = Annotated[str, msgspec.Meta(pattern=r"^https?://[^\s]+$")]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 Seconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
+Size = Annotated[int, msgspec.Meta(ge=1, le=1 << 34)]
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 
 
@@ -23,12 +24,12 @@
 
     address: Address
     threads: Count
-    max_body: Count
-    max_header: Count
+    max_body: Size
+    max_header: Size
     header_timeout: Seconds
     default_deadline: Seconds
     max_waiting: Count
-    max_waiting_body: Count
+    max_waiting_body: Size
     certificate: str
     key: str
 
@@ -65,7 +66,7 @@
     seeds: list[Seed]
     interval: Seconds
     lease: Seconds
-    byte_budget: Count
+    byte_budget: Size
     mesh_limit: Count
     public_key: str
     secret_key: str
--- a/packages/valeweir/tests/test_settings.py
+++ b/packages/valeweir/tests/test_settings.py
@@ -62,6 +62,15 @@
             self.load(text)
         self.assertEqual(caught.exception.faults[0].line, 2)
 
+    def test_examples_are_valid(self):
+        """Found by hand: the documented body limit was over the schema's."""
+        folder = Path(__file__).parents[3] / "examples"
+        paths = sorted(folder.glob("*-router.json"))
+        self.assertEqual(len(paths), 2)
+        for path in paths:
+            with self.subTest(path.name):
+                self.assertEqual(load_settings(path, {})["fleet"]["interval"], 0.5)
+
     def test_broken_syntax_is_one_fault(self):
         with self.assertRaises(SettingsError) as caught:
             self.load('{"host": ')
--- a/packages/valeweir_standins/src/valeweir_standins/experiments.py
+++ b/packages/valeweir_standins/src/valeweir_standins/experiments.py
@@ -4,6 +4,8 @@
 import time
 from typing import NamedTuple
 
+from urllib3.exceptions import HTTPError
+
 from .figures import count_promises, get_gap, get_utilisation
 from .loads import Load
 from .rigs import Rig
@@ -34,6 +36,8 @@
         self._names = names
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True)
+        self._last = {}
+        self._busy = {}
         self.samples = []
 
     def start(self):
@@ -47,14 +51,25 @@
 
     def _run(self):
         while not self._stopped.wait(_SAMPLE_SECONDS):
-            busy = 0.0
             now = time.monotonic()
             for name in self._names:
-                stats = self._rig.get_json(self._rig.upstreams[name].address, "/stats")
-                # Each engine counts up to its own reading time.
-                busy += stats["busy_time"] - stats["busy"] * (stats["at"] - now)
+                self._read(name, now)
+            busy = sum(self._busy.values())
             self.samples.append((now, busy, self._load.outstanding))
 
+    def _read(self, name, now):
+        """Add up an engine's busy time; one that is down or new adds nothing."""
+        try:
+            stats = self._rig.get_json(self._rig.upstreams[name].address, "/stats")
+        except (HTTPError, ValueError):
+            self._last.pop(name, None)
+            return
+        # Each engine counts up to its own reading time.
+        busy = stats["busy_time"] - stats["busy"] * (stats["at"] - now)
+        grown = busy - self._last.get(name, busy)
+        self._busy[name] = self._busy.get(name, 0.0) + max(0.0, grown)
+        self._last[name] = busy
+
 
 def run_experiment(setup, on_progress=lambda done: None):
     """Run a scenario; return its figures as a JSON-ready dict."""
@@ -167,7 +182,7 @@
         if process.popen.poll() is None:
             try:
                 figures[host] = rig.get_metrics(host)
-            except Exception:
+            except HTTPError:
                 # A frozen or freshly killed router has no figures to give.
                 continue
     return figures
