--- a/packages/valeweir_platform/src/valeweir_platform/followers.py
+++ b/packages/valeweir_platform/src/valeweir_platform/followers.py
@@ -32,6 +32,12 @@
         Called with the lock held after the configuration has changed.
     on_reached : callable
         Called with the lock held when the end of the log was reached.
+
+    Attributes
+    ----------
+    gap : bool
+        Whether records expired before they were read, and no snapshot or peer
+        has made up for them yet.
     """
 
     def __init__(self, log, configuration, lock, on_change, on_reached):
@@ -42,6 +48,9 @@
         self._on_reached = on_reached
         self._waiting = {}
         self.available = False
+        self.gap = False
+        self.snapshot_at = 0
+        self._scanned = 0
         self._caught_up = False
 
     def run(self, poll, stopped):
@@ -58,13 +67,18 @@
 
     def follow_once(self):
         """Read and fold one batch; return whether there may be more."""
+        start = max(self._configuration.offset, self._scanned)
         try:
-            batch = self._log.read(self._configuration.offset)
+            batch = self._log.read(start)
         except (PlatformUnavailable, msgspec.MsgspecError) as exc:
             self._set_available(False, str(exc))
             return False
         self._set_available(True, "")
         with self._lock:
+            if batch.first > self._configuration.offset:
+                return self._cross_gap(batch)
+            self.gap = False
+            self._scanned = 0
             self._fold(batch)
             reached = self._configuration.offset >= batch.next
             if reached:
@@ -110,14 +124,12 @@
 
     def _fold(self, batch):
         before = self._configuration.offset
-        if batch.records and batch.records[0].offset > before and before < batch.first:
-            logger.bind(offset=before, first=batch.first).warning("log expired")
         for record in batch.records:
             if record.offset < self._configuration.offset:
                 continue
             kind, value = decode_record(record.body)
             if kind == "snapshot":
-                self._configuration.adopt(value)
+                self.snapshot_at = record.offset
             verdict = self._configuration.fold(
                 record.offset, value if kind == "change" else None
             )
@@ -126,6 +138,40 @@
         if self._configuration.offset != before:
             self._on_change()
 
+    def _cross_gap(self, batch):
+        """Look for a snapshot after records that expired unread.
+
+        Folding what is left would give a view that no other router has.
+        """
+        if not self.gap:
+            offset = self._configuration.offset
+            logger.bind(offset=offset, first=batch.first).warning("log expired")
+        self.gap = True
+        for record in batch.records:
+            self._scanned = record.offset + 1
+            kind, view = decode_record(record.body)
+            if kind != "snapshot" or view.offset < batch.first:
+                continue
+            if self._configuration.adopt(view):
+                logger.bind(offset=view.offset).info("snapshot adopted")
+                self._scanned = 0
+                self._on_change()
+                return True
+        return self._scanned < batch.next
+
+    def write_snapshot(self):
+        """Append the view in force, so that older records may expire."""
+        with self._lock:
+            view = msgspec.to_builtins(self._configuration.get_view())
+        try:
+            self._log.append({"snapshot": view})
+        except PlatformUnavailable as exc:
+            logger.bind(why=str(exc)).warning("snapshot not written")
+
+    def get_records_since_snapshot(self):
+        """Return how many records were folded since the last snapshot."""
+        return self._configuration.offset - self.snapshot_at
+
     def _settle(self, change, verdict):
         # What was there before this daemon started is no change of state here.
         level = "INFO" if self._caught_up else "DEBUG"
--- a/packages/valeweir_router/src/valeweir_router/gossip.py
+++ b/packages/valeweir_router/src/valeweir_router/gossip.py
@@ -278,7 +278,8 @@
 def _catch_up(state, peer, digest):
     if not state.history_known:
         _send(state, peer, HistoryQuery)
-    if digest.config_offset > state.configuration.offset and not state.config_known:
+    needed = state.config_gap or not state.config_known
+    if needed and digest.config_offset > state.configuration.offset:
         _send(state, peer, ViewQuery, offset=state.configuration.offset)
 
 
--- a/packages/valeweir_router/src/valeweir_router/router.py
+++ b/packages/valeweir_router/src/valeweir_router/router.py
@@ -11,6 +11,7 @@
 from valeweir_fleet.links import CurveKeys, Links
 from valeweir_platform.adapters import create_log, create_membership
 from valeweir_platform.followers import LogFollower
+from valeweir_sharing.ownership import choose_owner
 from valeweir_upstreams.connections import Connections
 
 from . import gossip, leasing
@@ -20,6 +21,8 @@
 
 _ADMIN_THREADS = 64
 _STOP_POLL = 0.05
+_SNAPSHOT_EVERY = 200
+_SNAPSHOT_CHECK = 5.0
 _NUMBER_DIGITS = "0123456789abcdefghijklmnopqrstuvwxyz"
 
 
@@ -44,6 +47,7 @@
         self.timers.subscribe("digests", self.state.pace.get_interval, self._tick)
         self.timers.subscribe("asks", leasing.ASK_GAP, self._flush_asks)
         self.timers.subscribe("members", cfg["platform"]["poll"], self._read_members)
+        self.timers.subscribe("snapshots", _SNAPSHOT_CHECK, self._check_snapshot)
         self.timers.start()
         threading.Thread(
             target=self.follower.run,
@@ -105,6 +109,17 @@
                 owners = leasing.get_pool_owners(self.state, pool)
                 leasing.send_ask(self.state, pool, owners)
 
+    def _check_snapshot(self):
+        """Write a snapshot when one is due and this router is chosen to."""
+        due = self.follower.get_records_since_snapshot() >= _SNAPSHOT_EVERY
+        state = self.state
+        with state.lock:
+            state.config_gap = self.follower.gap
+            hosts = [state.host, *(p.host for p in state.peers.get_live())]
+            chosen = choose_owner("snapshot", hosts) == state.host
+        if due and chosen and not self.follower.gap and not state.leaving:
+            self.follower.write_snapshot()
+
     def _read_members(self):
         try:
             hosts = self.membership()
--- a/packages/valeweir_router/src/valeweir_router/states.py
+++ b/packages/valeweir_router/src/valeweir_router/states.py
@@ -136,6 +136,7 @@
         self.leaving = False
         self.refusing = False
         self.config_known = False
+        self.config_gap = False
         self.started = clock()
         self.keys = KeyTable()
         self.keys_learned = set()
--- a/packages/valeweir_standins/src/valeweir_standins/scenarios.py
+++ b/packages/valeweir_standins/src/valeweir_standins/scenarios.py
@@ -205,6 +205,7 @@
             "an engine is killed and started several times",
             _make_mixed,
             disturbances.flap_upstream,
+            crash=True,
         ),
         _row(
             "two-faults",
