--- a/packages/valeweir/src/valeweir/logs.py
+++ b/packages/valeweir/src/valeweir/logs.py
@@ -1,8 +1,8 @@
 """Set-up of the structured log: one line per decision or change of state."""
 
-import json
 import sys
 
+import msgspec
 from loguru import logger
 
 
@@ -15,11 +15,12 @@
     }
     if record["exception"] is not None:
         entry["error"] = repr(record["exception"].value)
-    return json.dumps(entry, default=str)
+    return msgspec.json.encode(entry, enc_hook=str) + b"\n"
 
 
 def _write_json(message):
-    sys.stderr.write(_format_json(message.record) + "\n")
+    sys.stderr.buffer.write(_format_json(message.record))
+    sys.stderr.buffer.flush()
 
 
 def prepare_logs(form="json", level="INFO"):
--- a/packages/valeweir/src/valeweir/servers.py
+++ b/packages/valeweir/src/valeweir/servers.py
@@ -171,7 +171,9 @@
         while self.ready:
             if self._need_threads.wait(0.5):
                 self._need_threads.clear()
-                self.requests.grow(_GROW_BY)
+                # cheroot waits a tenth of a second for each batch to start.
+                running = len(self.requests._threads)
+                self.requests.grow(max(_GROW_BY, running // 2))
 
 
 def create_server(
--- a/packages/valeweir_fleet/src/valeweir_fleet/messages.py
+++ b/packages/valeweir_fleet/src/valeweir_fleet/messages.py
@@ -112,11 +112,24 @@
     """A router that started empty asks for the service of past incarnations."""
 
 
+class Past(msgspec.Struct, frozen=True, array_like=True):
+    """Service of one account in one pool that no live router reports."""
+
+    pool: str
+    account: int
+    base: int
+    lift: int
+
+
 class History(Message, tag="P"):
-    """Settled service of retired incarnations: {pool: {account: cost}}."""
+    """Service of past and silent incarnations, see `accounts.History`.
+
+    ``silent`` maps an incarnation to ``(pool, account, settled)`` rows.
+    """
 
-    base: dict[str, dict[str, float]]
+    past: list[Past]
     retired: list[str]
+    silent: dict[str, list[tuple[str, int, int]]]
 
 
 class KeyClaim(Message, tag="K"):
--- a/packages/valeweir_router/src/valeweir_router/gossip.py
+++ b/packages/valeweir_router/src/valeweir_router/gossip.py
@@ -27,7 +27,7 @@
 from valeweir_fleet.peers import Member
 from valeweir_sharing.accounts import Key, Report
 
-from . import claims, leasing, scheduler
+from . import claims, leasing, pasts, scheduler
 
 _WHOLE_EVERY = 20
 
@@ -48,6 +48,7 @@
     leasing.plan_idle(state)
     state.ledger.clear_pending("predicted")
     claims.learn(state)
+    pasts.retire_silent(state)
     send_digests(state)
 
 
@@ -56,9 +57,11 @@
     changes = state.peers.get_changes(state.clock())
     for change in changes:
         state.ledger.set_live(change.peer.source, change.live)
+        pasts.note_liveness(state, change.peer.source, change.live)
         logger.bind(peer=change.peer.source, live=change.live).info("peer changed")
     for peer in state.peers.replaced:
         state.ledger.retire(peer.source, state.clock())
+        state.silent_since.pop(peer.source, None)
     moved = bool(changes or state.peers.replaced)
     state.peers.replaced.clear()
     metrics.live_peers.set(len(state.peers.get_live()))
@@ -70,13 +73,17 @@
     """Send every known router its digest."""
     state.digests += 1
     whole = state.digests % _WHOLE_EVERY == 1
-    pools = get_reports(state, whole)
+    everything = get_reports(state, True)
+    pools = everything if whole else get_reports(state, False)
+    state.ledger.dirty.clear()
     state.told = {pool: state.ledger.get_own_waiting(pool) for pool in state.pools}
     now = state.clock()
     by_host = state.peers.by_host
     for host, address in state.peers.get_targets(state.host).items():
         peer = by_host.get(host)
-        digest = _make_digest(state, peer, pools, whole, now)
+        greet = whole or peer is None or not peer.live
+        rows = everything if greet else pools
+        digest = _make_digest(state, peer, rows, greet, now)
         state.links.send(address, digest)
 
 
@@ -84,7 +91,6 @@
     """Return a `PoolReport` per pool, of all keys or of those that changed."""
     ledger = state.ledger
     keys = list(ledger.own) if whole else list(ledger.dirty)
-    ledger.dirty.clear()
     by_pool = {}
     for key in keys:
         usage = ledger.own[key]
@@ -128,6 +134,8 @@
         for number, figures in pool.accounts.items()
         if number in state.account_names
     ]
+    if digest.whole:
+        state.greeted.add(peer.source)
     fronts = [(pool.pool, pool.front) for pool in digest.pools]
     state.ledger.merge(peer.source, digest.seq, reports, fronts)
     leasing.merge_grants(state, peer.source, digest.grants)
@@ -178,23 +186,16 @@
 
 
 def _handle_history_query(state, peer, _query):
-    base, retired = state.ledger.get_history()
-    by_pool = {}
-    for key, cost in base.items():
-        by_pool.setdefault(key.pool, {})[key.account] = cost
-    _send(state, peer, History, base=by_pool, retired=retired)
+    if state.history_known:
+        _send(state, peer, History, **pasts.encode_history(state))
 
 
-def _handle_history(state, peer, history):
+def _handle_history(state, peer, message):
     if state.history_known:
         return
     state.history_known = True
-    base = {
-        Key(pool, account): cost
-        for pool, accounts in history.base.items()
-        for account, cost in accounts.items()
-    }
-    state.ledger.adopt_history(base, history.retired, state.clock())
+    history = pasts.decode_history(state, message)
+    state.ledger.adopt_history(history, state.clock())
     logger.bind(peer=peer.source).info("history adopted")
 
 
@@ -247,7 +248,7 @@
     return [Member(**seed) for seed in state.cfg["fleet"]["seeds"]]
 
 
-def _make_digest(state, peer, pools, whole, now):
+def _make_digest(state, peer, pools, greet, now):
     source = peer.source if peer else None
     claims = [
         state.holder.get_claim(name, state.health.is_ejected(name, now))
@@ -259,7 +260,6 @@
         for table in state.tables.values()
         if source in table.entries
     ]
-    greet = whole or peer is None or not peer.live
     return Digest(
         source=state.source,
         seq=state.next_seq(),
@@ -268,7 +268,7 @@
         leaving=state.leaving,
         config_offset=state.configuration.offset,
         identity=Identity(state.domain, state.links.address) if greet else None,
-        whole=whole,
+        whole=greet,
         pools=pools,
         claims=claims,
         grants=grants,
--- a/packages/valeweir_router/src/valeweir_router/leasing.py
+++ b/packages/valeweir_router/src/valeweir_router/leasing.py
@@ -18,6 +18,7 @@
 
 ASK_GAP = 0.05
 _SILENT_INTERVALS = 2.2
+_DRY_SECONDS = 2.0
 
 # -- holder ----------------------------------------------------------------
 
@@ -208,7 +209,7 @@
     wants = _get_wants(state, pool)
     if not wants:
         return
-    gifts = plan_gifts(pool, free, wants, state.ledger, _prefer_for(state))
+    gifts = plan_gifts(pool, free, wants, state.ledger, _prefer_for(state), state.rng)
     deliver(state, gifts, now)
 
 
@@ -489,6 +490,22 @@
     return prefer
 
 
+def _find_dry(state, pool, holders, now):
+    """Return holders with work and no slot of ours, for too long or leaving."""
+    tables = [state.tables[name] for name in state.owned.get(pool, ())]
+    dry = set()
+    for holder in holders:
+        if any(_get_slots(table, holder) for table in tables):
+            state.last_slot[holder, pool] = now
+            continue
+        since = state.last_slot.setdefault((holder, pool), now)
+        peer = state.peers.by_source.get(holder)
+        leaving = peer is not None and state.peers.is_leaving(peer)
+        if leaving or now - since > _DRY_SECONDS:
+            dry.add(holder)
+    return dry
+
+
 def _is_refused(state, upstream, holder):
     entry = state.tables[upstream].entries.get(holder)
     return entry is not None and entry.refused
@@ -530,3 +547,8 @@
     held.owner = "static"
     held.epoch = held.lease = 1
     return held
+
+
+def _get_slots(table, holder):
+    entry = table.entries.get(holder)
+    return entry.slots if entry is not None else 0
--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/pasts.py
@@ -0,0 +1,80 @@
+"""Service of incarnations that are gone: passed on to routers that start empty.
+
+Functions expect the state's lock to be held.
+"""
+
+from loguru import logger
+from valeweir_fleet.messages import Past
+from valeweir_sharing.accounts import History, Key
+
+_RETIRE_AFTER = 600.0
+_FORGET_AFTER = 86_400.0
+
+
+def encode_history(state):
+    """Return the fields of a `History` message."""
+    history = state.ledger.get_history()
+    numbers = state.account_numbers
+    keys = [k for k in set(history.base) | set(history.lifts) if k.account in numbers]
+    past = [
+        Past(
+            key.pool,
+            numbers[key.account],
+            int(history.base.get(key, 0.0)),
+            int(history.lifts.get(key, 0.0)),
+        )
+        for key in keys
+    ]
+    silent = {
+        source: [
+            (key.pool, numbers[key.account], int(settled))
+            for key, settled in rows.items()
+            if key.account in numbers
+        ]
+        for source, rows in history.silent.items()
+    }
+    return {"past": past, "retired": history.retired, "silent": silent}
+
+
+def decode_history(state, message):
+    """Return the `valeweir_sharing.accounts.History` in a message."""
+    names = state.account_names
+    rows = [
+        (Key(p.pool, names[p.account]), p) for p in message.past if p.account in names
+    ]
+    silent = {
+        source: {
+            Key(pool, names[number]): float(settled)
+            for pool, number, settled in entries
+            if number in names
+        }
+        for source, entries in message.silent.items()
+    }
+    return History(
+        {key: float(p.base) for key, p in rows},
+        message.retired,
+        {key: float(p.lift) for key, p in rows},
+        silent,
+    )
+
+
+def retire_silent(state):
+    """Once an interval: do without history where nobody has it, and tidy up."""
+    now = state.clock()
+    if not state.history_known and now - state.started > state.holder.lease_time:
+        state.history_known = True
+        logger.info("no router knew of earlier service")
+    for source in [
+        s for s, at in state.silent_since.items() if at < now - _RETIRE_AFTER
+    ]:
+        state.ledger.retire(source, now)
+        del state.silent_since[source]
+    state.ledger.forget_retired(now - _FORGET_AFTER)
+
+
+def note_liveness(state, source, live):
+    """Remember since when an incarnation has been silent."""
+    if live:
+        state.silent_since.pop(source, None)
+    else:
+        state.silent_since[source] = state.clock()
--- a/packages/valeweir_router/src/valeweir_router/router.py
+++ b/packages/valeweir_router/src/valeweir_router/router.py
@@ -88,6 +88,9 @@
     def _end(self):
         self.stopped.set()
         self.timers.stop()
+        with self.state.lock:
+            # What was served since the last digest counts for the accounts.
+            gossip.send_digests(self.state)
         self.callers.stop()
         self.admin.stop()
         self.state.links.stop()
--- a/packages/valeweir_router/src/valeweir_router/scheduler.py
+++ b/packages/valeweir_router/src/valeweir_router/scheduler.py
@@ -113,6 +113,10 @@
     if up is None or up.leaving:
         leasing.hand_back(state, upstream, held.free)
         return
+    if state.leaving and state.get_queue(pool).size:
+        # What is still here must end before the process does.
+        dispatch(state, pool)
+        return
     least = get_least_served(state.get_queue(pool), state.ledger, pool)
     elsewhere = state.ledger.get_least_elsewhere(pool)
     there = elsewhere[0] if elsewhere else None
--- a/packages/valeweir_router/src/valeweir_router/states.py
+++ b/packages/valeweir_router/src/valeweir_router/states.py
@@ -112,6 +112,8 @@
         self.weights = {}
         self.weight_sum = 1.0
         self.ledger = Ledger()
+        self.ledger.complete = False
+        self.greeted = set()
         self.estimates = Estimates()
         self.queues = {}
         self.holder = Holder(cfg["fleet"]["lease"])
@@ -122,6 +124,7 @@
         self.last_tick = clock()
         self.last_ask = {}
         self.last_recall = {}
+        self.last_slot = {}
         self.told = {}
         self.ask_due = set()
         self.idle_low = {}
@@ -142,6 +145,7 @@
         self.keys_learned = set()
         self.claims = {}
         self.history_known = False
+        self.silent_since = {}
         self.digests = 0
         self.seq = 0
         self.links = None
--- a/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
@@ -32,6 +32,19 @@
     waiting: int
 
 
+class History(NamedTuple):
+    """Service that a router which starts empty cannot hear of otherwise.
+
+    ``base`` is the settled service of ``retired`` incarnations, summed;
+    ``silent`` that of incarnations not heard from, by name.
+    """
+
+    base: dict[Key, float]
+    retired: list[str]
+    lifts: dict[Key, float]
+    silent: dict[str, dict[Key, float]]
+
+
 class Usage:
     """This incarnation's own figures for one key."""
 
@@ -46,7 +59,7 @@
 class _Source:
     """What another incarnation reported last."""
 
-    __slots__ = ("live", "reports", "seq", "waiting")
+    __slots__ = ("given", "live", "reports", "seq", "waiting")
 
     def __init__(self):
         self.seq = -1
@@ -54,6 +67,8 @@
         self.reports = {}
         # {pool: {account: requests}}, for the demand that owners ask for.
         self.waiting = {}
+        # Requests that slots were given for since the last report.
+        self.given = {}
 
     def set_waiting(self, key, count):
         """Note how many requests of ``key`` wait there."""
@@ -65,6 +80,9 @@
 
     Attributes
     ----------
+    complete : bool
+        False while reports of live routers are missing. Lifts are for good
+        and fleet-wide, so none is made from a part of the figures.
     own : dict of Key to Usage
     sources : dict of str to _Source, by incarnation
     lifts : dict of Key to float
@@ -73,6 +91,7 @@
     """
 
     def __init__(self):
+        self.complete = True
         self.own = {}
         self.sources = {}
         self.retired = {}
@@ -129,7 +148,7 @@
         least-served waiting account, or the pool's front where none waits.
         """
         usage = self._get_usage(key)
-        if delta > 0 and not usage.waiting:
+        if delta > 0 and not usage.waiting and self.complete:
             if not self.elsewhere.get(key.pool, {}).get(key.account):
                 self._lift_entrant(key)
         usage.waiting += delta
@@ -188,7 +207,7 @@
         After a cut heals, the difference carried over is at most ``bound``.
         Returns the number of accounts lifted.
         """
-        waiting = self.get_waiting(pool)
+        waiting = self.get_waiting(pool) if self.complete else {}
         if len(waiting) < 2:
             return 0
         virtual = {a: self.get_virtual(Key(pool, a)) for a in waiting}
@@ -211,8 +230,9 @@
         if seq <= state.seq:
             return False
         state.seq = seq
-        state.live = True
+        self.set_live(source, True)
         self.clear_pending(source)
+        self._restore_demand(state)
         for key, report in reports:
             self._merge_report(state, key, report)
         for pool, front in fronts:
@@ -222,6 +242,7 @@
     def merge_waiting(self, source, pool, waiting):
         """Replace what waits at ``source`` in ``pool``; {account: count}."""
         state = self.sources.setdefault(source, _Source())
+        self._restore_demand(state)
         for account in set(state.waiting.get(pool, ())) | set(waiting):
             key = Key(pool, account)
             old = state.reports.get(key, Report(0.0, 0.0, 0.0, 0))
@@ -232,15 +253,17 @@
             state.set_waiting(key, count)
 
     def take_demand(self, source, key):
-        """Note that one request waiting at ``source`` has been given a slot."""
+        """Note that one request waiting at ``source`` has been given a slot.
+
+        This holds until its next report: it may use the slot for another
+        account, and then says nothing of one whose figures have not changed.
+        """
         state = self.sources.get(source)
         report = state.reports.get(key) if state else None
         if report is None or report.waiting <= 0:
             return
-        state.reports[key] = report._replace(waiting=report.waiting - 1)
-        state.set_waiting(key, report.waiting - 1)
-        if state.live:
-            self._add_elsewhere(key, -1)
+        state.given[key] = state.given.get(key, 0) + 1
+        self._change_waiting(state, key, -1)
 
     def get_demand(self, source, pool):
         """Return {account: waiting} at one other router."""
@@ -286,23 +309,47 @@
     # -- state for a router that starts empty ------------------------------
 
     def get_history(self):
-        """Return ``(base, retired)``: what no live router reports any more."""
-        return dict(self.base), list(self.retired)
-
-    def adopt_history(self, base, retired, now):
+        """Return `History`: what no live router reports any more."""
+        lifts = {key: lift for key, lift in self.lifts.items() if lift > 0}
+        silent = {
+            source: {key: report.settled for key, report in state.reports.items()}
+            for source, state in self.sources.items()
+            if not state.live
+        }
+        return History(dict(self.base), list(self.retired), lifts, silent)
+
+    def adopt_history(self, history, now):
         """Take a peer's history, once, at start."""
-        self.base = dict(base)
-        self.retired = dict.fromkeys(retired, now)
-        for source in retired:
-            state = self.sources.get(source)
-            if state is not None:
+        for source in history.retired:
+            state = self.sources.pop(source, None)
+            for key, report in state.reports.items() if state else ():
+                self._add_other(key, -report.settled - state.live * report.inflight)
+                self._add_elsewhere(key, -state.live * report.waiting)
+        self.base = dict(history.base)
+        self.retired = dict.fromkeys(history.retired, now)
+        for key, lift in history.lifts.items():
+            self.lifts[key] = max(lift, self.lifts.get(key, 0.0))
+        for source, settled in history.silent.items():
+            if source not in self.sources:
+                rows = [(k, Report(s, 0.0, 0.0, 0)) for k, s in settled.items()]
+                # Any report of its own that it may yet send is newer.
+                self.merge(source, 0, rows, [])
                 self.set_live(source, False)
-                del self.sources[source]
-                for key, report in state.reports.items():
-                    self._add_other(key, -report.settled)
 
     # -- details -----------------------------------------------------------
 
+    def _restore_demand(self, state):
+        given, state.given = state.given, {}
+        for key, count in given.items():
+            self._change_waiting(state, key, count)
+
+    def _change_waiting(self, state, key, delta):
+        report = state.reports[key]
+        state.reports[key] = report._replace(waiting=report.waiting + delta)
+        state.set_waiting(key, report.waiting + delta)
+        if state.live:
+            self._add_elsewhere(key, delta)
+
     def _get_usage(self, key):
         usage = self.own.get(key)
         if usage is None:
--- a/packages/valeweir_sharing/src/valeweir_sharing/grants.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/grants.py
@@ -21,7 +21,7 @@
     account: str | None
 
 
-def plan_gifts(pool, free, wants, ledger, prefer):
+def plan_gifts(pool, free, wants, ledger, prefer, rng, dry=()):
     """Divide free slots, one at a time, to the least-served waiting accounts.
 
     Parameters
@@ -32,6 +32,12 @@
     prefer : callable
         ``prefer(holder, upstreams)`` returns the upstream to give, or None
         where the holder can use none of them.
+    rng : random.Random
+        Chooses among the routers where an account waits, in proportion to the
+        requests there: a router with few is not passed over for ever.
+    dry : collection of str
+        Holders that get one slot first. Shares bound what an account waits,
+        not what its requests at one router wait, where it is served elsewhere.
 
     Returns
     -------
@@ -43,13 +49,18 @@
         demand.setdefault(want.account, {})[want.holder] = want.count
     gifts = []
     unit = ledger.get_unit(pool)
+    dry = [want for want in wants if want.holder in dry]
     while demand:
         open_upstreams = [u for u, count in free.items() if count > 0]
         if not open_upstreams:
             break
-        account = min(demand, key=lambda a: (ledger.get_virtual(Key(pool, a)), a))
+        among = [want.account for want in dry] or demand
+        account = min(among, key=lambda a: (ledger.get_virtual(Key(pool, a)), a))
         holders = demand[account]
-        holder = max(holders, key=lambda h: (holders[h], h))
+        waiting_dry = [w.holder for w in dry if w.account == account]
+        names = sorted(waiting_dry or holders)
+        (holder,) = rng.choices(names, [holders[name] for name in names])
+        dry = [want for want in dry if want.holder != holder]
         upstream = prefer(holder, open_upstreams)
         if upstream is None:
             _drop(demand, account, holder)
