--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/dispatching.py
@@ -0,0 +1,95 @@
+"""Using slots: from the queue to a leased slot.
+
+Every function expects the state's lock to be held.
+"""
+
+from loguru import logger
+from valeweir import metrics
+from valeweir.models import Placement
+from valeweir_sharing.choice import Candidate, choose_upstream
+from valeweir_sharing.queues import pick_ticket
+
+
+def dispatch(state, pool):
+    """Give free slots to waiting tickets, in order, while there are both."""
+    queue = state.get_queue(pool)
+    now = state.clock()
+    while queue.size:
+        candidates = get_candidates(state, pool, now)
+        if not candidates:
+            return
+        ticket = pick_ticket(queue, state.ledger, pool, now, state.order)
+        open_to = [c for c in candidates if c.upstream not in ticket.excluded]
+        choice = choose_upstream(open_to or candidates, ticket.prefix, state.hints, now)
+        if not state.holder.take(choice.upstream, now):
+            return
+        note_idle(state, choice.upstream)
+        _start(state, queue, ticket, choice, now)
+
+
+def get_candidates(state, pool, now):
+    """Return the upstreams of a pool where a free slot may be used now."""
+    candidates = []
+    for name in state.pools.get(pool, ()):
+        held = state.holder.held.get(name)
+        if held is None or held.free <= 0:
+            continue
+        up = state.upstreams[name]
+        usable = state.health.is_usable(name, now)
+        if up.leaving or not usable or not state.holder.is_valid(name, now):
+            continue
+        local = up.domain == state.domain
+        candidates.append(Candidate(name, state.loads.get(name, 0.0), local, held.free))
+    return candidates
+
+
+def merge_grants(state, owner, grants):
+    """Take in grants of another router, and use them."""
+    pools = set()
+    for grant in grants:
+        gained = state.holder.merge_grant(owner, grant)
+        up = state.upstreams.get(grant.upstream)
+        if gained > 0 and up is not None:
+            metrics.slot_moves.labels("granted").inc(gained)
+            pools.add(up.pool)
+    for pool in pools:
+        dispatch(state, pool)
+
+
+def note_idle(state, upstream):
+    """Remember the fewest free slots seen since the last digest."""
+    held = state.holder.held[upstream]
+    state.idle_low[upstream] = min(state.idle_low.get(upstream, 0), held.free)
+
+
+def note_served(state, pool, account):
+    """Note that one request which the owners knew of waits no more."""
+    told = state.told.get(pool)
+    if told and told.get(account):
+        told[account] -= 1
+
+
+def _start(state, queue, ticket, choice, now):
+    queue.remove(ticket)
+    cost = state.estimates.get(ticket.pool, ticket.account, ticket.work_class)
+    ticket.charge = cost / ticket.weight
+    ticket.settled = 0.0
+    ticket.dispatched = now
+    state.ledger.note_waiting(ticket.key, -1)
+    note_served(state, ticket.pool, ticket.account)
+    state.ledger.charge(ticket.key, ticket.charge)
+    state.ledger.mirror_charge(ticket.key, ticket.charge)
+    state.health.note_dispatch(choice.upstream)
+    up = state.upstreams[choice.upstream]
+    ticket.placement = Placement(up.name, up.address, choice.reason)
+    waited = now - ticket.arrived
+    metrics.queue_seconds.labels(ticket.pool, ticket.work_class.value).observe(waited)
+    logger.bind(
+        request=ticket.id,
+        account=ticket.account,
+        work_class=ticket.work_class.value,
+        upstream=up.name,
+        why=choice.reason,
+        waited=round(waited, 4),
+    ).info("routed")
+    ticket.gate.release()
--- a/packages/valeweir_router/src/valeweir_router/gossip.py
+++ b/packages/valeweir_router/src/valeweir_router/gossip.py
@@ -27,25 +27,25 @@
 from valeweir_fleet.peers import Member
 from valeweir_sharing.accounts import Key, Report
 
-from . import claims, leasing, pasts, scheduler
+from . import claims, dispatching, holding, owning, pasts
 
 _WHOLE_EVERY = 20
 
 
 def tick(state):
     """Do what is due once an interval: liveness, leases, digests."""
-    leasing.note_pause(state)
-    leasing.drop_lapsed(state)
+    owning.note_pause(state)
+    holding.drop_lapsed(state)
     refresh_live(state)
-    leasing.renew_own(state)
-    leasing.expire_leases(state)
-    leasing.give_idle(state)
+    holding.renew_own(state)
+    owning.expire_leases(state)
+    holding.give_idle(state)
     for pool in state.pools:
         state.ledger.clamp(pool, _get_clamp(state, pool))
-        leasing.plan(state, pool)
+        owning.plan(state, pool)
         # An upstream may have come to the end of its pause.
-        scheduler.dispatch(state, pool)
-    leasing.plan_idle(state)
+        dispatching.dispatch(state, pool)
+    owning.plan_idle(state)
     state.ledger.clear_pending("predicted")
     claims.learn(state)
     pasts.retire_silent(state)
@@ -66,7 +66,7 @@
     state.peers.replaced.clear()
     metrics.live_peers.set(len(state.peers.get_live()))
     if moved:
-        leasing.update_ownership(state)
+        owning.update_ownership(state)
 
 
 def send_digests(state):
@@ -138,10 +138,10 @@
         state.greeted.add(peer.source)
     fronts = [(pool.pool, pool.front) for pool in digest.pools]
     state.ledger.merge(peer.source, digest.seq, reports, fronts)
-    leasing.merge_grants(state, peer.source, digest.grants)
-    pools = leasing.merge_claims(state, peer.source, digest.claims)
+    dispatching.merge_grants(state, peer.source, digest.grants)
+    pools = owning.merge_claims(state, peer.source, digest.claims)
     for pool in pools | {pool.pool for pool in digest.pools}:
-        leasing.plan(state, pool)
+        owning.plan(state, pool)
     _catch_up(state, peer, digest)
 
 
@@ -150,19 +150,19 @@
     names = state.account_names
     waiting = {names[n]: count for n, count in ask.waiting.items() if n in names}
     state.ledger.merge_waiting(peer.source, ask.pool, waiting)
-    leasing.merge_claims(state, peer.source, ask.claims)
-    leasing.plan(state, ask.pool)
+    owning.merge_claims(state, peer.source, ask.claims)
+    owning.plan(state, ask.pool)
 
 
 def _handle_offer(state, peer, offer):
     peer.echo = max(peer.echo, offer.echo)
     state.holder.note_echo(peer.source, offer.echo)
-    leasing.merge_grants(state, peer.source, offer.grants)
-    leasing.answer_recall(state, offer.recall)
+    dispatching.merge_grants(state, peer.source, offer.grants)
+    holding.answer_recall(state, offer.recall)
 
 
 def _handle_handover(state, peer, handover):
-    leasing.take_over(state, handover)
+    owning.take_over(state, handover)
 
 
 def _handle_view_query(state, peer, query):
@@ -220,14 +220,14 @@
     """Put a new configuration in force here."""
     known = set(state.upstreams)
     state.apply_configuration()
-    leasing.update_ownership(state)
+    owning.update_ownership(state)
     for name in known - set(state.upstreams):
         state.holder.held.pop(name, None)
     for name, up in state.upstreams.items():
         if up.leaving and name in state.holder.held:
-            leasing.hand_back(state, name, state.holder.held[name].free)
+            holding.hand_back(state, name, state.holder.held[name].free)
     for pool in state.pools:
-        scheduler.dispatch(state, pool)
+        dispatching.dispatch(state, pool)
 
 
 def set_members(state, hosts):
@@ -240,7 +240,7 @@
     known = {m.host for m in members}
     seeds = [m for m in get_seeds(state) if m.host not in known]
     state.peers.set_members(members + seeds)
-    leasing.update_ownership(state)
+    owning.update_ownership(state)
 
 
 def get_seeds(state):
@@ -253,7 +253,7 @@
     claims = [
         state.holder.get_claim(name, state.health.is_ejected(name, now))
         for name in state.holder.held
-        if source is not None and source in leasing.get_claim_targets(state, name)
+        if source is not None and source in owning.get_claim_targets(state, name)
     ]
     grants = [
         table.get_grant(source)
--- a/packages/valeweir_router/src/valeweir_router/leasing.py
+++ b/packages/valeweir_router/src/valeweir_router/owning.py
@@ -1,4 +1,4 @@
-"""Slots between routers: what this one asks for, gives back and grants.
+"""The owner's side of slots: tenures, tables, and who gets what is free.
 
 Every function expects the state's lock to be held.
 """
@@ -8,169 +8,17 @@
 
 from loguru import logger
 from valeweir import metrics
-from valeweir_fleet.messages import Ask, Handover, Offer
+from valeweir_fleet.messages import Handover, Offer
 from valeweir_sharing.accounts import Key
 from valeweir_sharing.grants import Want, plan_floats, plan_gifts
-from valeweir_sharing.leases import MARGIN, Table
+from valeweir_sharing.leases import MARGIN, Held, Table
 from valeweir_sharing.ownership import choose_owner, get_candidates, get_group
 
-from . import scheduler
+from . import dispatching
 
-ASK_GAP = 0.05
-_SILENT_INTERVALS = 2.2
+_RECALL_GAP = 0.05
 _DRY_SECONDS = 2.0
 
-# -- holder ----------------------------------------------------------------
-
-
-def want(state, pool, account):
-    """Ask the owners of a pool for slots, at most once in `ASK_GAP`.
-
-    Nothing is asked while the owners know of requests of this account that
-    wait here: they count on it for the next free slot anyway.
-    """
-    now = state.clock()
-    plan(state, pool)
-    if state.told.get(pool, {}).get(account, 0) > 0:
-        return
-    if now - state.last_ask.get(pool, 0.0) < ASK_GAP:
-        state.ask_due.add(pool)
-        return
-    send_ask(state, pool, get_pool_owners(state, pool))
-
-
-def note_served(state, pool, account):
-    """Note that one request which the owners knew of waits no more."""
-    told = state.told.get(pool)
-    if told and told.get(account):
-        told[account] -= 1
-
-
-def send_ask(state, pool, owners, upstreams=()):
-    """Tell owners what waits here; claims of ``upstreams`` go along."""
-    now = state.clock()
-    state.last_ask[pool] = now
-    state.ask_due.discard(pool)
-    waiting = state.ledger.get_own_waiting(pool)
-    if set(owners) >= get_pool_owners(state, pool):
-        state.told[pool] = dict(waiting)
-    for source in owners:
-        peer = state.peers.by_source.get(source)
-        if peer is None or not peer.live:
-            continue
-        claims = [
-            state.holder.get_claim(name)
-            for name in upstreams
-            if source in get_claim_targets(state, name)
-        ]
-        ask = Ask(
-            source=state.source,
-            seq=state.next_seq(),
-            sent_at=now,
-            pool=pool,
-            waiting={
-                state.account_numbers[account]: count
-                for account, count in waiting.items()
-                if account in state.account_numbers
-            },
-            claims=claims,
-        )
-        state.links.send(state.peers.get_address(peer), ask)
-
-
-def hand_back(state, upstream, count):
-    """Return free slots to their owner, which grants them anew at once."""
-    if not _can_return(state, upstream):
-        return
-    given = state.holder.give_back(upstream, count)
-    if not given:
-        return
-    metrics.slot_moves.labels("back").inc(given)
-    pool = state.upstreams[upstream].pool if upstream in state.upstreams else ""
-    _predict_use(state, pool, given)
-    if state.owners.get(upstream) == state.source:
-        _claim_own(state, upstream)
-        plan(state, pool)
-        return
-    send_ask(state, pool, get_claim_targets(state, upstream), [upstream])
-
-
-def give_idle(state):
-    """Hand back slots that others can use, or that have long lain idle."""
-    for pool, names in state.pools.items():
-        queue = state.get_queue(pool)
-        wanted = state.ledger.elsewhere.get(pool)
-        keep = 0 if wanted else state.cfg["sharing"]["float_slots"]
-        if queue.size:
-            continue
-        spare = sum(held.free for held in _get_held(state, names)) - keep
-        for name in sorted(names):
-            held = state.holder.held.get(name)
-            if spare <= 0:
-                break
-            if held is None or not held.free:
-                continue
-            idle = min(held.free, spare, state.idle_low.get(name, 0))
-            count = min(held.free, spare) if wanted else idle
-            if count > 0:
-                hand_back(state, name, count)
-                spare -= count
-    state.idle_low = {n: h.free for n, h in state.holder.held.items()}
-
-
-def note_idle(state, upstream):
-    """Remember the fewest free slots seen since the last digest."""
-    held = state.holder.held[upstream]
-    state.idle_low[upstream] = min(state.idle_low.get(upstream, 0), held.free)
-
-
-def merge_grants(state, owner, grants):
-    """Take in grants of another router, and use them."""
-    pools = set()
-    for grant in grants:
-        gained = state.holder.merge_grant(owner, grant)
-        up = state.upstreams.get(grant.upstream)
-        if gained > 0 and up is not None:
-            metrics.slot_moves.labels("granted").inc(gained)
-            pools.add(up.pool)
-    for pool in pools:
-        scheduler.dispatch(state, pool)
-
-
-def get_claim_targets(state, upstream):
-    """Return the incarnations to tell of our slots: lessor and owner by now.
-
-    The lessor may have lost its ownership: while it answers us our lease
-    runs, so it has to know that we hold it.
-    """
-    targets = {state.owners.get(upstream)}
-    held = state.holder.held.get(upstream)
-    if held is not None and held.slots > 0:
-        targets.add(held.owner)
-    targets -= {None, state.source}
-    return targets
-
-
-def get_pool_owners(state, pool):
-    """Return the other routers that own upstreams of a pool."""
-    owners = {state.owners.get(name) for name in state.pools.get(pool, ())}
-    return owners - {None, state.source}
-
-
-def renew_own(state):
-    """Extend the leases that this router holds of itself."""
-    state.holder.note_echo(state.source, state.clock())
-
-
-def drop_lapsed(state):
-    """Stop using leases whose owner has not answered in time."""
-    for upstream in state.holder.drop_lapsed(state.clock()):
-        metrics.lease_lapses.inc()
-        logger.bind(upstream=upstream).warning("lease lapsed")
-
-
-# -- owner -----------------------------------------------------------------
-
 
 def note_pause(state):
     """Start tenures anew after a pause in which others may have taken over."""
@@ -216,7 +64,7 @@
 def recall_idle(state, pool):
     """Ask holders for slots that lie idle while others wait."""
     now = state.clock()
-    if now - state.last_recall.get(pool, 0.0) < ASK_GAP:
+    if now - state.last_recall.get(pool, 0.0) < _RECALL_GAP:
         return
     if not state.ledger.get_waiting(pool):
         return
@@ -230,16 +78,6 @@
         _send_offer(state, holder, [], names)
 
 
-def answer_recall(state, upstreams):
-    """Hand back what lies idle here of upstreams whose owner asks."""
-    for name in upstreams:
-        up = state.upstreams.get(name)
-        held = state.holder.held.get(name)
-        if up is None or held is None or state.get_queue(up.pool).size:
-            continue
-        hand_back(state, name, held.free)
-
-
 def plan_idle(state):
     """Spread what nobody waits for as small floats."""
     limit = state.cfg["sharing"]["float_slots"]
@@ -271,7 +109,7 @@
     for holder, names in grants.items():
         rows = [state.tables[name].get_grant(holder) for name in sorted(names)]
         if holder == state.source:
-            merge_grants(state, state.source, rows)
+            dispatching.merge_grants(state, state.source, rows)
         else:
             _send_offer(state, holder, rows)
 
@@ -315,47 +153,34 @@
             logger.bind(upstream=table.upstream, holder=holder).info("lease expired")
 
 
-# -- details ---------------------------------------------------------------
-
-
-def _predict_use(state, pool, count):
-    """Assume that returned slots go to the least-served account elsewhere.
-
-    Until the next report this keeps one hungry account from drawing every
-    slot that frees in the meantime.
-    """
-    for _ in range(count):
-        least = state.ledger.get_least_elsewhere(pool)
-        if least is None:
-            return
-        unit = state.ledger.get_unit(pool)
-        state.ledger.add_pending("predicted", Key(pool, least[1]), unit)
-
-
-def _get_held(state, names):
-    return [state.holder.held[n] for n in names if n in state.holder.held]
-
-
-def _can_return(state, upstream):
-    """Return whether the owner is there to take slots back.
+def get_claim_targets(state, upstream):
+    """Return the incarnations to tell of our slots: lessor and owner by now.
 
-    What is handed to an owner that has died is idle until its tenure is
-    settled anew; so a short silence is enough to keep slots in use here.
+    The lessor may have lost its ownership: while it answers us our lease
+    runs, so it has to know that we hold it.
     """
-    owner = state.owners.get(upstream)
-    if owner == state.source:
-        return True
-    peer = state.peers.by_source.get(owner)
-    if peer is None or not peer.live:
-        return False
-    return state.clock() - peer.heard < _SILENT_INTERVALS * state.pace.get_interval()
+    targets = {state.owners.get(upstream)}
+    held = state.holder.held.get(upstream)
+    if held is not None and held.slots > 0:
+        targets.add(held.owner)
+    targets -= {None, state.source}
+    return targets
 
 
-def _claim_own(state, upstream):
-    table = state.tables.get(upstream)
-    if table is not None:
-        claim = state.holder.get_claim(upstream)
-        table.merge_claim(state.source, claim, state.clock())
+def _choose_owners(state, sources, members):
+    """Return {upstream: incarnation of its owner}; one choice for each group."""
+    sizes = collections.Counter((u.pool, u.domain) for u in state.upstreams.values())
+    chosen = {}
+    owners = {}
+    for up in state.upstreams.values():
+        size = sizes[up.pool, up.domain]
+        group = get_group(up.name, up.pool, up.domain, size)
+        if group not in chosen:
+            candidates = get_candidates(up.domain, members)
+            chosen[group] = choose_owner(group, candidates)
+        if chosen[group] is not None:
+            owners[up.name] = sources[chosen[group]][0]
+    return owners
 
 
 def _get_member_sources(state):
@@ -374,22 +199,6 @@
     return others if state.leaving else [state.source, *others]
 
 
-def _choose_owners(state, sources, members):
-    """Return {upstream: incarnation of its owner}; one choice for each group."""
-    sizes = collections.Counter((u.pool, u.domain) for u in state.upstreams.values())
-    chosen = {}
-    owners = {}
-    for up in state.upstreams.values():
-        size = sizes[up.pool, up.domain]
-        group = get_group(up.name, up.pool, up.domain, size)
-        if group not in chosen:
-            candidates = get_candidates(up.domain, members)
-            chosen[group] = choose_owner(group, candidates)
-        if chosen[group] is not None:
-            owners[up.name] = sources[chosen[group]][0]
-    return owners
-
-
 def _update_tables(state, now):
     settled_at = now + state.holder.lease_time + MARGIN
     for name, up in state.upstreams.items():
@@ -537,12 +346,10 @@
         held.granted = mine
     state.holder.heard["static"] = float("inf")
     for pool in state.pools:
-        scheduler.dispatch(state, pool)
+        dispatching.dispatch(state, pool)
 
 
 def _make_static():
-    from valeweir_sharing.leases import Held
-
     held = Held()
     held.owner = "static"
     held.epoch = held.lease = 1
--- a/packages/valeweir_router/src/valeweir_router/router.py
+++ b/packages/valeweir_router/src/valeweir_router/router.py
@@ -14,7 +14,7 @@
 from valeweir_sharing.ownership import choose_owner
 from valeweir_upstreams.connections import Connections
 
-from . import gossip, leasing
+from . import gossip, holding, owning
 from .admin import create_admin_handler
 from .sessions import create_handler
 from .states import RouterState
@@ -45,7 +45,7 @@
         self.admin.start_threads()
         self.callers.start_threads()
         self.timers.subscribe("digests", self.state.pace.get_interval, self._tick)
-        self.timers.subscribe("asks", leasing.ASK_GAP, self._flush_asks)
+        self.timers.subscribe("asks", holding.ASK_GAP, self._flush_asks)
         self.timers.subscribe("members", cfg["platform"]["poll"], self._read_members)
         self.timers.subscribe("snapshots", _SNAPSHOT_CHECK, self._check_snapshot)
         self.timers.start()
@@ -63,7 +63,7 @@
         stop = state.cfg["stop"]
         with state.lock:
             state.leaving = True
-            leasing.update_ownership(state)
+            owning.update_ownership(state)
             gossip.send_digests(state)
         logger.info("stopping")
         deadline = time.monotonic() + stop["limit"]
@@ -109,8 +109,8 @@
     def _flush_asks(self):
         with self.state.lock:
             for pool in list(self.state.ask_due):
-                owners = leasing.get_pool_owners(self.state, pool)
-                leasing.send_ask(self.state, pool, owners)
+                owners = holding.get_pool_owners(self.state, pool)
+                holding.send_ask(self.state, pool, owners)
 
     def _check_snapshot(self):
         """Write a snapshot when one is due and this router is chosen to."""
--- a/packages/valeweir_router/src/valeweir_router/scheduler.py
+++ b/packages/valeweir_router/src/valeweir_router/scheduler.py
@@ -1,16 +1,13 @@
-"""From the queue to a slot and back: dispatch, completion, hand-back.
+"""A request's stations: queued, withdrawn, running, ended.
 
 Every function expects the state's lock to be held.
 """
 
-from loguru import logger
 from valeweir import metrics
-from valeweir.models import Placement
-from valeweir_sharing.choice import Candidate, choose_upstream
 from valeweir_sharing.grants import should_hand_back
-from valeweir_sharing.queues import get_least_served, pick_ticket
+from valeweir_sharing.queues import get_least_served
 
-from . import leasing
+from . import dispatching, holding
 
 
 def submit(state, ticket):
@@ -18,9 +15,9 @@
     ticket.weight = state.get_weight(ticket.pool, ticket.account)
     state.ledger.note_waiting(ticket.key, 1)
     state.get_queue(ticket.pool).add(ticket)
-    dispatch(state, ticket.pool)
+    dispatching.dispatch(state, ticket.pool)
     if ticket.placement is None:
-        leasing.want(state, ticket.pool, ticket.account)
+        holding.want(state, ticket.pool, ticket.account)
 
 
 def resubmit(state, ticket):
@@ -28,9 +25,9 @@
     ticket.placement = None
     state.ledger.note_waiting(ticket.key, 1)
     state.get_queue(ticket.pool).add_first(ticket)
-    dispatch(state, ticket.pool)
+    dispatching.dispatch(state, ticket.pool)
     if ticket.placement is None:
-        leasing.want(state, ticket.pool, ticket.account)
+        holding.want(state, ticket.pool, ticket.account)
 
 
 def withdraw(state, ticket):
@@ -41,39 +38,6 @@
     return True
 
 
-def dispatch(state, pool):
-    """Give free slots to waiting tickets, in order, while there are both."""
-    queue = state.get_queue(pool)
-    now = state.clock()
-    while queue.size:
-        candidates = get_candidates(state, pool, now)
-        if not candidates:
-            return
-        ticket = pick_ticket(queue, state.ledger, pool, now, state.order)
-        open_to = [c for c in candidates if c.upstream not in ticket.excluded]
-        choice = choose_upstream(open_to or candidates, ticket.prefix, state.hints, now)
-        if not state.holder.take(choice.upstream, now):
-            return
-        leasing.note_idle(state, choice.upstream)
-        _start(state, queue, ticket, choice, now)
-
-
-def get_candidates(state, pool, now):
-    """Return the upstreams of a pool where a free slot may be used now."""
-    candidates = []
-    for name in state.pools.get(pool, ()):
-        held = state.holder.held.get(name)
-        if held is None or held.free <= 0:
-            continue
-        up = state.upstreams[name]
-        usable = state.health.is_usable(name, now)
-        if up.leaving or not usable or not state.holder.is_valid(name, now):
-            continue
-        local = up.domain == state.domain
-        candidates.append(Candidate(name, state.loads.get(name, 0.0), local, held.free))
-    return candidates
-
-
 def note_progress(state, ticket, cost):
     """Settle the part of a running request's cost that is known by now."""
     done = cost / ticket.weight
@@ -111,41 +75,15 @@
         return
     up = state.upstreams.get(upstream)
     if up is None or up.leaving:
-        leasing.hand_back(state, upstream, held.free)
+        holding.hand_back(state, upstream, held.free)
         return
     if state.leaving and state.get_queue(pool).size:
         # What is still here must end before the process does.
-        dispatch(state, pool)
+        dispatching.dispatch(state, pool)
         return
     least = get_least_served(state.get_queue(pool), state.ledger, pool)
     elsewhere = state.ledger.get_least_elsewhere(pool)
     there = elsewhere[0] if elsewhere else None
     if should_hand_back(least, there, state.get_slack(pool)):
-        leasing.hand_back(state, upstream, 1)
-    dispatch(state, pool)
-
-
-def _start(state, queue, ticket, choice, now):
-    queue.remove(ticket)
-    cost = state.estimates.get(ticket.pool, ticket.account, ticket.work_class)
-    ticket.charge = cost / ticket.weight
-    ticket.settled = 0.0
-    ticket.dispatched = now
-    state.ledger.note_waiting(ticket.key, -1)
-    leasing.note_served(state, ticket.pool, ticket.account)
-    state.ledger.charge(ticket.key, ticket.charge)
-    state.ledger.mirror_charge(ticket.key, ticket.charge)
-    state.health.note_dispatch(choice.upstream)
-    up = state.upstreams[choice.upstream]
-    ticket.placement = Placement(up.name, up.address, choice.reason)
-    waited = now - ticket.arrived
-    metrics.queue_seconds.labels(ticket.pool, ticket.work_class.value).observe(waited)
-    logger.bind(
-        request=ticket.id,
-        account=ticket.account,
-        work_class=ticket.work_class.value,
-        upstream=up.name,
-        why=choice.reason,
-        waited=round(waited, 4),
-    ).info("routed")
-    ticket.gate.release()
+        holding.hand_back(state, upstream, 1)
+    dispatching.dispatch(state, pool)
