--- a/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
@@ -11,6 +11,9 @@
 
 from typing import NamedTuple
 
+# How far below the front, in mean requests, an account may enter.
+_ENTRY_ALLOWANCE = 4.0
+
 
 class Key(NamedTuple):
     """What service is accounted for."""
@@ -366,10 +369,13 @@
     def _lift_entrant(self, key):
         waiting = self.get_waiting(key.pool)
         waiting.pop(key.account, None)
+        front = self.fronts.get(key.pool, 0.0)
+        floor = front
         if waiting:
-            floor = min(self.get_virtual(Key(key.pool, a)) for a in waiting)
-        else:
-            floor = self.fronts.get(key.pool, 0.0)
+            least = min(self.get_virtual(Key(key.pool, a)) for a in waiting)
+            # The least may be another entrant whose lift is not known here yet.
+            allowance = _ENTRY_ALLOWANCE * self.get_unit(key.pool)
+            floor = max(least, front - allowance)
         missing = floor - self.get_virtual(key)
         if missing > 0:
             self._raise_lift(key, missing)
--- a/packages/valeweir_sharing/tests/test_accounts.py
+++ b/packages/valeweir_sharing/tests/test_accounts.py
@@ -34,6 +34,17 @@
         ledger.note_waiting(B, 1)
         self.assertEqual(ledger.get_virtual(B), 300)
 
+    def test_accounts_that_enter_together_do_not_hold_each_other_down(self):
+        """Found by idle-then-burst: each took the other for the least served."""
+        ledger = Ledger()
+        ledger.units["llm"] = 10.0
+        ledger.note_waiting(A, 1)
+        ledger.settle(A, 0, 500)
+        ledger.charge(A, 10)
+        ledger.merge_waiting("r#1", "llm", {"c": 3})
+        ledger.note_waiting(B, 1)
+        self.assertEqual(ledger.get_virtual(B), 500 - 4 * ledger.get_unit("llm"))
+
     def test_account_that_waits_elsewhere_is_no_entrant(self):
         ledger = Ledger()
         ledger.note_waiting(A, 1)
