--- a/packages/valeweir_router/src/valeweir_router/pasts.py
+++ b/packages/valeweir_router/src/valeweir_router/pasts.py
@@ -64,6 +64,9 @@
     if not state.history_known and now - state.started > state.holder.lease_time:
         state.history_known = True
         logger.info("no router knew of earlier service")
+    if state.history_known and not state.ledger.complete:
+        live = {peer.source for peer in state.peers.get_live()}
+        state.ledger.complete = live <= state.greeted
     for source in [
         s for s, at in state.silent_since.items() if at < now - _RETIRE_AFTER
     ]:
--- a/packages/valeweir_router/src/valeweir_router/views.py
+++ b/packages/valeweir_router/src/valeweir_router/views.py
@@ -36,6 +36,7 @@
             "upstreams": _get_upstreams(state),
             "accounts": _get_accounts(state),
             "config_offset": state.configuration.offset,
+            "service_known": state.ledger.complete,
         }
 
 
--- a/packages/valeweir_router/tests/test_promises.py
+++ b/packages/valeweir_router/tests/test_promises.py
@@ -37,6 +37,13 @@
             self.assertNotEqual(first.data, second.data)
 
 
+class TestService(unittest.TestCase):
+    def test_router_comes_to_know_all_service(self):
+        """Found by idle-then-burst: without it no account was ever lifted."""
+        with Fleet() as fleet:
+            until(lambda: fleet.operate("GET", "/v1/fleet").json()["service_known"])
+
+
 class TestPlannedStop(unittest.TestCase):
     def test_stop_waits_for_the_request_in_flight(self):
         with Fleet() as fleet:
