--- a/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
@@ -372,10 +372,12 @@
         front = self.fronts.get(key.pool, 0.0)
         floor = front
         if waiting:
-            least = min(self.get_virtual(Key(key.pool, a)) for a in waiting)
-            # The least may be another entrant whose lift is not known here yet.
+            served = sorted(self.get_virtual(Key(key.pool, a)) for a in waiting)
+            # The least may be other entrants whose lift is not known here yet,
+            # the front one account that ran ahead; neither moves a quartile.
+            quartile = served[len(served) * 3 // 4]
             allowance = _ENTRY_ALLOWANCE * self.get_unit(key.pool)
-            floor = max(least, front - allowance)
+            floor = max(served[0], min(quartile, front) - allowance)
         missing = floor - self.get_virtual(key)
         if missing > 0:
             self._raise_lift(key, missing)
