--- a/packages/valeweir_router/src/valeweir_router/scheduler.py
+++ b/packages/valeweir_router/src/valeweir_router/scheduler.py
@@ -13,21 +13,13 @@
 def submit(state, ticket):
     """Queue a ticket; it is dispatched now if a slot is free."""
     ticket.weight = state.get_weight(ticket.pool, ticket.account)
-    state.ledger.note_waiting(ticket.key, 1)
-    state.get_queue(ticket.pool).add(ticket)
-    dispatching.dispatch(state, ticket.pool)
-    if ticket.placement is None:
-        holding.want(state, ticket.pool, ticket.account)
+    _queue(state, ticket, state.get_queue(ticket.pool).add)
 
 
 def resubmit(state, ticket):
     """Queue a ticket again, ahead of its class, after a failed attempt."""
     ticket.placement = None
-    state.ledger.note_waiting(ticket.key, 1)
-    state.get_queue(ticket.pool).add_first(ticket)
-    dispatching.dispatch(state, ticket.pool)
-    if ticket.placement is None:
-        holding.want(state, ticket.pool, ticket.account)
+    _queue(state, ticket, state.get_queue(ticket.pool).add_first)
 
 
 def withdraw(state, ticket):
@@ -87,3 +79,11 @@
     if should_hand_back(least, there, state.get_slack(pool)):
         holding.hand_back(state, upstream, 1)
     dispatching.dispatch(state, pool)
+
+
+def _queue(state, ticket, add):
+    state.ledger.note_waiting(ticket.key, 1)
+    add(ticket)
+    dispatching.dispatch(state, ticket.pool)
+    if ticket.placement is None:
+        holding.want(state, ticket.pool, ticket.account)
