--- a/packages/valeweir_router/src/valeweir_router/gossip.py
+++ b/packages/valeweir_router/src/valeweir_router/gossip.py
@@ -73,8 +73,8 @@
     """Send every known router its digest."""
     state.digests += 1
     whole = state.digests % _WHOLE_EVERY == 1
-    everything = get_reports(state, True)
-    pools = everything if whole else get_reports(state, False)
+    changed = get_reports(state, False)
+    everything = None
     state.ledger.dirty.clear()
     state.told = {pool: state.ledger.get_own_waiting(pool) for pool in state.pools}
     now = state.clock()
@@ -82,7 +82,9 @@
     for host, address in state.peers.get_targets(state.host).items():
         peer = by_host.get(host)
         greet = whole or peer is None or not peer.live
-        rows = everything if greet else pools
+        if greet and everything is None:
+            everything = get_reports(state, True)
+        rows = everything if greet else changed
         digest = _make_digest(state, peer, rows, greet, now)
         state.links.send(address, digest)
 
--- a/packages/valeweir_router/src/valeweir_router/owning.py
+++ b/packages/valeweir_router/src/valeweir_router/owning.py
@@ -57,7 +57,9 @@
     wants = _get_wants(state, pool)
     if not wants:
         return
-    gifts = plan_gifts(pool, free, wants, state.ledger, _prefer_for(state), state.rng)
+    dry = _find_dry(state, pool, {want.holder for want in wants}, now)
+    prefer = _prefer_for(state)
+    gifts = plan_gifts(pool, free, wants, state.ledger, prefer, state.rng, dry)
     deliver(state, gifts, now)
 
 
--- a/packages/valeweir_router/tests/fleets.py
+++ b/packages/valeweir_router/tests/fleets.py
@@ -10,7 +10,9 @@
 from valeweir.resources import Change
 from valeweir.settings import prepare_settings
 from valeweir_platform.adapters import create_log
+from valeweir_router import gossip
 from valeweir_router.router import create_router
+from valeweir_router.states import RouterState
 from valeweir_standins import platform, upstreams
 
 ROOT_KEY = "root"
@@ -122,6 +124,44 @@
         )
 
 
+class FakeClock:
+    """A clock that stands still until it is moved."""
+
+    def __init__(self):
+        self.value = 1000.0
+
+    def __call__(self):
+        return self.value
+
+
+class FakeLinks:
+    """Keeps what would be sent."""
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, address, message):
+        self.sent.append((address, message))
+
+
+def make_state(slots):
+    """Return ``(state, clock)`` of a router that owns one settled upstream."""
+    clock = FakeClock()
+    cfg = prepare_settings(
+        {"host": "haldia-1", "domain": "haldia", "fleet": {"address": "127.0.0.1:0"}},
+        {},
+    )
+    state = RouterState(cfg, "haldia-1#1", clock, seed=1)
+    state.links = FakeLinks()
+    spec = {"partner": "p", "pool": "llm", "kind": "engine", "domain": "haldia"}
+    spec |= {"address": "127.0.0.1:9", "slots": slots}
+    change = Change(id="u", kind="upstreams", name="u", base=0, spec=spec)
+    state.configuration.fold(0, change)
+    gossip.apply_configuration(state)
+    clock.value += 100.0
+    return state, clock
+
+
 def until(condition, seconds=20.0):
     """Wait for a condition; fails the test only if it never comes."""
     deadline = time.monotonic() + seconds
--- /dev/null
+++ b/packages/valeweir_router/tests/test_owning.py
@@ -0,0 +1,23 @@
+import unittest
+
+from fleets import make_state
+from valeweir_fleet.peers import Peer
+from valeweir_router import owning
+from valeweir_sharing.accounts import Key, Report
+
+
+class TestPlan(unittest.TestCase):
+    def test_router_long_without_a_slot_gets_one_first(self):
+        """Found in review: the rule was written but never asked."""
+        state, now = make_state(slots=1)
+        peer = Peer("other#1", "other")
+        peer.live, peer.domain, peer.address = True, "haldia", "127.0.0.1:1"
+        state.peers.by_source[peer.source] = state.peers.by_host["other"] = peer
+        behind, ahead = Key("llm", "a"), Key("llm", "b")
+        state.ledger.settle(ahead, 0, 5000)
+        rows = [(ahead, Report(0.0, 0.0, 0.0, 1))]
+        state.ledger.merge(peer.source, 1, rows, [])
+        state.ledger.note_waiting(behind, 1)
+        state.last_slot["other#1", "llm"] = now.value - 10.0
+        owning.plan(state, "llm")
+        self.assertEqual(state.tables["u"].entries["other#1"].slots, 1)
