--- a/packages/valeweir/src/valeweir/servers.py
+++ b/packages/valeweir/src/valeweir/servers.py
@@ -85,6 +85,10 @@
         """Close the connection after this answer."""
         self._req.close_connection = True
 
+    def fileno(self):
+        """Return the connection's descriptor, to wait for its end."""
+        return self._req.conn.socket.fileno()
+
     def is_gone(self):
         """Return whether the client has closed its side of the connection."""
         sock = self._req.conn.socket
@@ -135,6 +139,10 @@
 class _HTTPConnection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _HTTPRequest
 
+    def __init__(self, server, sock, *args):
+        server.prepare_client_socket(sock)
+        super().__init__(server, sock, *args)
+
 
 class Server(cheroot_server.HTTPServer):
     """cheroot's server with a pool of threads that grows when it must."""
@@ -144,7 +152,8 @@
     request_queue_size = 1024
     expiration_interval = 0.2
 
-    def __init__(self, bind_addr, gateway, threads, note_refusal):
+    def __init__(self, bind_addr, gateway, threads, note_refusal, prepare_socket):
+        self._prepare_socket = prepare_socket
         super().__init__(
             bind_addr, gateway, minthreads=min(16, threads), maxthreads=threads
         )
@@ -157,6 +166,11 @@
         for name, run in (("serve", self.serve), ("grow", self._grow)):
             threading.Thread(target=run, name=name, daemon=True).start()
 
+    def prepare_client_socket(self, sock):
+        """Set the options of a client's new socket."""
+        if self._prepare_socket is not None:
+            self._prepare_socket(sock)
+
     def check_threads(self):
         """Ask for more threads when few are idle."""
         if self.requests.idle < _SPARE_THREADS:
@@ -184,6 +198,7 @@
     max_header=32 << 10,
     timeout=10.0,
     note_refusal=lambda code: None,
+    prepare_socket=None,
 ):
     """Return a `Server` that calls ``handle(request, reply)`` in its threads.
 
@@ -193,6 +208,8 @@
         ``IP:PORT``; port 0 takes any free one, see ``server.bind_addr``.
     note_refusal : callable
         Told the code of each request that the parser refuses.
+    prepare_socket : callable, optional
+        Sets options on each client's socket.
     """
     host, _, port = address.rpartition(":")
 
@@ -201,7 +218,9 @@
             self.req.server.check_threads()
             _respond(self.req, handle)
 
-    server = Server((host.strip("[]"), int(port)), _Gateway, threads, note_refusal)
+    server = Server(
+        (host.strip("[]"), int(port)), _Gateway, threads, note_refusal, prepare_socket
+    )
     server.max_request_body_size = max_body
     server.max_request_header_size = max_header
     server.timeout = timeout
@@ -238,7 +257,8 @@
         raise BadBody("400 Bad Request", "both Content-Length and Transfer-Encoding")
     path = unquote(req.path.decode("latin-1"))
     query_text = (req.qs or b"").decode("latin-1")
-    target = req.path.decode("latin-1") + (f"?{query_text}" if query_text else "")
+    # As it was sent: what goes on to an upstream must not be decoded anew.
+    target = req.uri.decode("latin-1")
     query = {k: v[-1] for k, v in parse_qs(query_text).items()}
     body = _read_body(req, headers)
     return Request(req.method.decode("latin-1"), path, query, headers, body, target)
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/adapters.py
@@ -0,0 +1,30 @@
+"""What a platform's adapter hands to the gateway: names, formats and calls."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from .headers import HeaderNames
+from .stores import Store
+
+
+class BadRecord(ValueError):
+    """A record of the store that cannot be decoded."""
+
+
+class Adapter(NamedTuple):
+    """Translations between a platform and the gateway.
+
+    ``decode_catalog`` takes the bytes of a configuration record and returns a
+    `catalog.Catalog`; ``decode_instance`` takes a key and bytes and returns a
+    `directory.Instance`. Both raise `BadRecord`.
+    """
+
+    names: HeaderNames
+    ready_path: str
+    store: Store
+    catalog_topic: str
+    catalog_key: str
+    instance_topic: str
+    member_topic: str
+    decode_catalog: Callable
+    decode_instance: Callable
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/catalog.py
@@ -0,0 +1,110 @@
+"""The configuration in force: routes, services, client accounts and limits."""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+
+class RouteKind(StrEnum):
+    """What a route promises about repeating its requests."""
+
+    SAFE = "safe"
+    UNSAFE = "unsafe"
+    STREAM = "stream"
+
+
+class Target(NamedTuple):
+    """A service that a route sends to, and its weight among the targets."""
+
+    service: str
+    weight: float
+
+
+class Route(NamedTuple):
+    """A route of an operator. Times are in seconds; priority 0 is highest."""
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout: float
+    goal: float
+    priority: int
+    targets: tuple[Target, ...]
+    max_attempts: int
+    public: bool = False
+    resumable: bool = False
+    gap_goal: float = 0.0
+
+    @property
+    def repeatable(self):
+        """Return whether a request may run more than once from its start."""
+        return self.kind is RouteKind.SAFE or self.resumable
+
+
+class Engine(NamedTuple):
+    """What a service of model engines declares; memory in tokens."""
+
+    slots: int
+    memory: int
+
+
+class Service(NamedTuple):
+    """A service: a set of like upstreams."""
+
+    name: str
+    max_connections: int
+    engine: Engine | None
+
+
+class Account(NamedTuple):
+    """A client account; a priority of None leaves the route's in force."""
+
+    name: str
+    keys: tuple[str, ...]
+    priority: int | None
+
+
+class Limits(NamedTuple):
+    """Bounds on what clients send, in bytes and seconds, and on tokens."""
+
+    header_bytes: int = 32 << 10
+    body_bytes: int = 8 << 20
+    header_timeout: float = 10.0
+    idle_timeout: float = 15.0
+    tokens_per_second: float = 0.0
+
+
+class Catalog:
+    """One version of the configuration, indexed for look-ups; never changed."""
+
+    def __init__(self, version, routes, services, accounts, limits):
+        self.version = version
+        self.services = {service.name: service for service in services}
+        self.accounts = {account.name: account for account in accounts}
+        self.limits = limits
+        self.routes = tuple(routes)
+        self._by_host = {}
+        for route in routes:
+            self._by_host.setdefault(route.host.lower(), []).append(route)
+        for rows in self._by_host.values():
+            rows.sort(key=lambda route: len(route.prefix), reverse=True)
+        self._by_key = {key: a for a in accounts for key in a.keys}
+
+    @property
+    def needs_key(self):
+        """Return whether requests on routes that are not public need a key."""
+        return bool(self.accounts)
+
+    def find_route(self, host, path):
+        """Return the route with the longest prefix of ``path``, or None."""
+        rows = self._by_host.get(host.lower())
+        if rows is None:
+            rows = self._by_host.get(host.lower().partition(":")[0], ())
+        for route in rows:
+            if path.startswith(route.prefix):
+                return route
+        return None
+
+    def find_account(self, key):
+        """Return the account that holds ``key``, or None."""
+        return self._by_key.get(key)
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/connections.py
@@ -0,0 +1,105 @@
+"""Kept connections to upstream instances.
+
+A connection is kept only after an exchange that ended exactly as it should,
+and is dropped once it turned readable while idle: the upstream has closed it
+or sent bytes that belong to no request.
+"""
+
+import select
+import socket
+import threading
+import time
+
+from .sockets import prepare_socket
+
+CONNECT_TIMEOUT = 0.4
+_KEPT_PER_INSTANCE = 8
+_LONGEST_IDLE = 4.0
+
+
+class Idle:
+    """A kept connection; ``until`` is when to use it no more (steady clock)."""
+
+    __slots__ = ("since", "sock", "until")
+
+    def __init__(self, sock, since, until):
+        self.sock = sock
+        self.since = since
+        self.until = until
+
+
+class Connections:
+    """Idle connections by instance id, the last used first."""
+
+    def __init__(self, clock=time.monotonic):
+        self._clock = clock
+        self._idle = {}
+        self._lock = threading.Lock()
+
+    def take(self, instance_id, longest_idle=_LONGEST_IDLE):
+        """Return a kept socket that looks alive, or None."""
+        now = self._clock()
+        while True:
+            with self._lock:
+                rows = self._idle.get(instance_id)
+                if not rows:
+                    return None
+                idle = rows.pop()
+            fresh = now < idle.until and now - idle.since < longest_idle
+            if fresh and not _is_readable(idle.sock):
+                return idle.sock
+            idle.sock.close()
+
+    def keep(self, instance_id, sock, lifetime=None):
+        """Keep a socket for ``lifetime`` seconds at most."""
+        now = self._clock()
+        until = now + min(_LONGEST_IDLE, lifetime or _LONGEST_IDLE)
+        with self._lock:
+            rows = self._idle.setdefault(instance_id, [])
+            if len(rows) < _KEPT_PER_INSTANCE:
+                rows.append(Idle(sock, now, until))
+                return
+        sock.close()
+
+    def drop(self, instance_id):
+        """Close what is kept for an instance that is gone."""
+        with self._lock:
+            rows = self._idle.pop(instance_id, [])
+        for idle in rows:
+            idle.sock.close()
+
+    def drop_stale(self):
+        """Close what has been idle for too long."""
+        now = self._clock()
+        stale = []
+        with self._lock:
+            for instance_id, rows in list(self._idle.items()):
+                stale += [idle for idle in rows if now >= idle.until]
+                rows[:] = [idle for idle in rows if now < idle.until]
+                if not rows:
+                    del self._idle[instance_id]
+        for idle in stale:
+            idle.sock.close()
+
+
+def connect(address, timeout=CONNECT_TIMEOUT):
+    """Return a new connected socket; raises OSError where there is none."""
+    host, _, port = address.rpartition(":")
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        prepare_socket(sock)
+        sock.settimeout(timeout)
+        sock.connect((host, int(port)))
+    except OSError:
+        sock.close()
+        raise
+    return sock
+
+
+def _is_readable(sock):
+    try:
+        poller = select.poll()
+        poller.register(sock, select.POLLIN)
+        return bool(poller.poll(0))
+    except (OSError, ValueError):
+        return True
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/decisions.py
@@ -0,0 +1,117 @@
+"""Structured lines on standard output: bounded in rate, never blocking.
+
+A line is written by a thread of its own. Above the rate, lines are left out
+and counted; decisions on failures have an allowance of their own, so that
+successes never crowd them out.
+"""
+
+import os
+import queue
+import sys
+import threading
+import time
+
+import msgspec
+
+_QUEUE_LINES = 2_000
+_RATE_PER_SECOND = 60.0
+_BURST = 240.0
+_FAILURE_RATE_PER_SECOND = 60.0
+_FAILURE_BURST = 240.0
+_STOP_WAIT = 0.5
+
+
+class _Allowance:
+    """A token bucket of lines."""
+
+    def __init__(self, rate, burst, clock):
+        self._rate = rate
+        self._burst = burst
+        self._clock = clock
+        self._level = burst
+        self._at = clock()
+
+    def take(self):
+        now = self._clock()
+        self._level = min(self._burst, self._level + (now - self._at) * self._rate)
+        self._at = now
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
+
+class DecisionLog:
+    """Writes events as JSON lines.
+
+    Parameters
+    ----------
+    write : callable
+        Takes bytes; the default writes to standard output.
+    identity : dict
+        Fields that stand on every line.
+    """
+
+    def __init__(self, write=None, identity=None, clock=time.monotonic):
+        self._write = write or _write_stdout
+        self._identity = identity or {}
+        self._clock = clock
+        self._queue = queue.Queue(_QUEUE_LINES)
+        self._lock = threading.Lock()
+        self._routine = _Allowance(_RATE_PER_SECOND, _BURST, clock)
+        self._failures = _Allowance(_FAILURE_RATE_PER_SECOND, _FAILURE_BURST, clock)
+        self.left_out = 0
+        self._told = 0
+        self._thread = None
+
+    def start(self):
+        """Write in a thread of its own from now on."""
+        self._thread = threading.Thread(target=self._run, name="log", daemon=True)
+        self._thread.start()
+
+    def note(self, event, failed=False, **fields):
+        """Write a line about a decision or a change of what is believed.
+
+        Parameters
+        ----------
+        failed : bool
+            Takes the line from the failures' allowance.
+        """
+        with self._lock:
+            allowance = self._failures if failed else self._routine
+            if not allowance.take():
+                self.left_out += 1
+                return
+        line = {"t": round(self._clock(), 4), "event": event, **self._identity}
+        line.update(fields)
+        try:
+            self._queue.put_nowait(line)
+        except queue.Full:
+            self.left_out += 1
+
+    def stop(self):
+        """Write what is queued, then end."""
+        if self._thread is None:
+            return
+        try:
+            self._queue.put_nowait(None)
+        except queue.Full:
+            return
+        self._thread.join(_STOP_WAIT)
+
+    def _run(self):
+        while True:
+            line = self._queue.get()
+            if line is None:
+                return
+            if self.left_out != self._told:
+                self._told = self.left_out
+                line["left_out"] = self._told
+            try:
+                self._write(msgspec.json.encode(line, enc_hook=str) + b"\n")
+            except OSError:
+                self.left_out += 1
+
+
+def _write_stdout(data):
+    os.write(sys.stdout.fileno(), data)
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/directory.py
@@ -0,0 +1,51 @@
+"""Upstream instances as they announce themselves, by service."""
+
+from typing import NamedTuple
+
+
+class Instance(NamedTuple):
+    """One run of an upstream; ``cold`` is how long it stays slow, in seconds."""
+
+    id: str
+    service: str
+    address: str
+    zone: str
+    slots: int
+    ready: bool
+    cold: float = 0.0
+
+
+class Directory:
+    """All instances known. Readers use `ready`; one thread writes."""
+
+    def __init__(self):
+        self.by_id = {}
+        self._ready = {}
+
+    def put(self, instance):
+        """Add or replace an instance."""
+        old = self.by_id.get(instance.id)
+        self.by_id[instance.id] = instance
+        self._index(instance.service)
+        if old is not None and old.service != instance.service:
+            self._index(old.service)
+
+    def remove(self, instance_id):
+        """Forget an instance; return it, or None if it was not known."""
+        old = self.by_id.pop(instance_id, None)
+        if old is not None:
+            self._index(old.service)
+        return old
+
+    def get_ready(self, service):
+        """Return the instances of a service that take new requests."""
+        return self._ready.get(service, ())
+
+    def is_ready(self, instance_id):
+        """Return whether the instance is known and takes new requests."""
+        instance = self.by_id.get(instance_id)
+        return instance is not None and instance.ready
+
+    def _index(self, service):
+        rows = [i for i in self.by_id.values() if i.service == service and i.ready]
+        self._ready[service] = tuple(sorted(rows, key=lambda row: row.id))
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -0,0 +1,141 @@
+"""One gateway: its parts made, started and stopped."""
+
+import threading
+import time
+
+from valeweir.servers import create_server
+from valeweir.timers import TimerService
+
+from .decisions import DecisionLog
+from .forwarding import create_handler
+from .sockets import prepare_socket
+from .states import GatewayState
+from .stores import TopicFollower
+from .views import ViewKeeper
+
+_READY_THREADS = 4
+_STOP_POLL = 0.05
+_LAST_WAIT = 0.1
+_GRACE_MARGIN = 0.4
+_STALE_CHECK = 1.0
+
+
+class Gateway:
+    """A running gateway."""
+
+    def __init__(self, state, adapter, clients, ready):
+        self.state = state
+        self.stopped = threading.Event()
+        self.timers = TimerService(clock=time.monotonic)
+        self.views = ViewKeeper(state, adapter)
+        self._clients = clients
+        self._ready = ready
+        self._followers = _create_followers(state, adapter, self.views)
+
+    def start(self):
+        """Start every thread; returns at once."""
+        state = self.state
+        state.log.start()
+        state.log.note("started", settings=state.cfg.listen.clients)
+        for follower in self._followers:
+            follower.start(self.stopped)
+        self._ready.start_threads()
+        self._clients.start_threads()
+        self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
+        self.timers.subscribe("limits", _STALE_CHECK, self._apply_limits)
+        self.timers.start()
+
+    def stop(self):
+        """Leave as planned; return how many requests were cut."""
+        state = self.state
+        stop = state.cfg.stop
+        started = time.monotonic()
+        state.stopping = True
+        state.log.note("stopping", inflight=state.inflight)
+        end = started + stop.grace - _GRACE_MARGIN
+        # Until the balancer has noticed, new connections still come.
+        self._wait(min(end, started + stop.balancer_wait), lambda: False)
+        self._wait(end, lambda: state.inflight == 0)
+        state.refusing = True
+        self._wait(min(end, time.monotonic() + _LAST_WAIT), lambda: False)
+        self._wait(end, lambda: state.inflight == 0)
+        cut = state.inflight
+        self.stopped.set()
+        state.log.note("stopped", cut=cut)
+        state.log.stop()
+        return cut
+
+    def reload(self, cfg):
+        """Put settings in force that may change while the gateway runs."""
+        self.state.cfg = cfg
+        retries = self.state.retries
+        retries.ratio = cfg.retries.ratio
+        retries.slack = cfg.retries.slack
+        retries.window = cfg.retries.window
+        self.state.log.note("settings reloaded")
+
+    def _wait(self, deadline, is_done):
+        while time.monotonic() < deadline and not is_done():
+            time.sleep(_STOP_POLL)
+
+    def _apply_limits(self):
+        catalog = self.state.catalog
+        if catalog is None:
+            return
+        limits = catalog.limits
+        self._clients.max_request_header_size = limits.header_bytes
+        self._clients.max_request_body_size = limits.body_bytes
+        self._clients.timeout = limits.idle_timeout
+
+
+def create_gateway(cfg, adapter, log=None):
+    """Return a `Gateway` for checked settings, its ports bound on start."""
+    log = log or DecisionLog(identity={"host": cfg.host})
+    state = GatewayState(cfg, log, adapter.names)
+    clients = create_server(
+        cfg.listen.clients,
+        create_handler(state),
+        threads=cfg.threads,
+        timeout=15.0,
+        note_refusal=lambda code: log.note("request malformed", failed=True, why=code),
+        prepare_socket=prepare_socket,
+    )
+    ready = create_server(
+        cfg.listen.ready,
+        _create_ready_handler(state, adapter.ready_path),
+        threads=_READY_THREADS,
+    )
+    return Gateway(state, adapter, clients, ready)
+
+
+def _create_ready_handler(state, path):
+    def handle(request, reply):
+        if request.path != path:
+            reply.send(404, [], b"")
+            return
+        reply.send(200 if state.is_ready() else 503, [], b"")
+
+    return handle
+
+
+def _create_followers(state, adapter, views):
+    poll = state.cfg.store.poll
+    catalog = TopicFollower(
+        adapter.store,
+        adapter.catalog_topic,
+        views.apply_catalog,
+        lambda: None,
+        state.log,
+        poll,
+        state.clock,
+    )
+    instances = TopicFollower(
+        adapter.store,
+        adapter.instance_topic,
+        views.apply_instance,
+        views.note_listed,
+        state.log,
+        poll,
+        state.clock,
+    )
+    return [catalog, instances]
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -0,0 +1,235 @@
+"""What each engine has to do, as far as this gateway and its peers know.
+
+An engine reads prompts one after the other between the steps of running
+requests, so the wait for a first event follows from the prompt tokens sent
+there and not read yet. The reading rate is not declared anywhere: it is
+learned from how long first events took.
+"""
+
+import threading
+
+_FIRST_RATE = 30_000.0
+_LEAST_RATE = 2_000.0
+_GREATEST_RATE = 400_000.0
+_RATE_MEMORY = 0.05
+_FIRST_BASE = 0.05
+_BASE_MEMORY = 0.02
+_LEAST_READ = 1_500
+_CACHE_LIFETIME = 60.0
+_MAX_PARTS = 20_000
+_SILENCE = 1.0
+_ERRORS_TO_EJECT = 2
+_FIRST_PAUSE = 0.7
+_LONGEST_PAUSE = 8.0
+
+
+class InstanceLoad:
+    """Work of one instance. Tokens are prompt tokens not read yet."""
+
+    __slots__ = (
+        "active",
+        "errors",
+        "heard",
+        "last_error",
+        "pause",
+        "pending",
+        "probing",
+        "remote_active",
+        "remote_unread",
+        "slowness",
+        "unread",
+        "until",
+    )
+
+    def __init__(self, now):
+        self.unread = 0
+        self.remote_unread = 0
+        self.active = 0
+        self.remote_active = 0
+        self.pending = 0
+        self.heard = now
+        self.errors = 0
+        self.last_error = 0.0
+        self.pause = _FIRST_PAUSE
+        self.until = 0.0
+        self.probing = False
+        self.slowness = 1.0
+
+
+class Work:
+    """One request at an instance, from its send to its end."""
+
+    __slots__ = ("ahead", "instance_id", "is_read", "sent", "tokens")
+
+    def __init__(self, instance_id, tokens, ahead, sent):
+        self.instance_id = instance_id
+        self.tokens = tokens
+        self.ahead = ahead
+        self.sent = sent
+        self.is_read = False
+
+
+class Loads:
+    """Work and condition of every instance, and where prompt parts were read.
+
+    All methods may be called from any thread; ``now`` is on the steady clock.
+    """
+
+    def __init__(self):
+        self._lock = threading.Lock()
+        self._by_id = {}
+        self._parts = {}
+        self.rate = _FIRST_RATE
+        self.base = _FIRST_BASE
+
+    def get(self, instance_id, now):
+        """Return the `InstanceLoad` of an instance."""
+        load = self._by_id.get(instance_id)
+        if load is None:
+            load = self._by_id.setdefault(instance_id, InstanceLoad(now))
+        return load
+
+    def forget(self, instance_id):
+        """Drop what is known of an instance that is gone."""
+        with self._lock:
+            self._by_id.pop(instance_id, None)
+            for holders in self._parts.values():
+                holders.pop(instance_id, None)
+
+    def is_cached(self, part_id, instance_id, now):
+        """Return whether the instance has probably read the part lately."""
+        at = self._parts.get(part_id, {}).get(instance_id)
+        return at is not None and now - at < _CACHE_LIFETIME
+
+    def get_holders(self, part_id):
+        """Return {instance id: time of the last read} of a part."""
+        return self._parts.get(part_id, {})
+
+    def note_parts(self, parts, instance_id, now):
+        """Note that the instance reads these parts."""
+        with self._lock:
+            for part in parts:
+                self._parts.setdefault(part.id, {})[instance_id] = now
+            while len(self._parts) > _MAX_PARTS:
+                self._parts.pop(next(iter(self._parts)))
+
+    def estimate_wait(self, instance_id, tokens, now):
+        """Return seconds until a request with ``tokens`` to read gives an event."""
+        load = self.get(instance_id, now)
+        ahead = load.unread + load.remote_unread
+        return self.base + load.slowness * (ahead + tokens) / self.rate
+
+    def start(self, instance_id, tokens, now):
+        """Note a request sent; return its `Work`."""
+        with self._lock:
+            load = self.get(instance_id, now)
+            if load.active == 0:
+                load.heard = now
+            ahead = load.unread + load.remote_unread
+            load.unread += tokens
+            load.active += 1
+            load.pending += 1
+            if load.until and now >= load.until:
+                load.probing = True
+            return Work(instance_id, tokens, ahead, now)
+
+    def note_progress(self, work, now):
+        """Note that something of the answer has come."""
+        load = self.get(work.instance_id, now)
+        load.heard = now
+        if work.is_read:
+            return
+        with self._lock:
+            self._note_read(work, load)
+            self._learn(work, load, now - work.sent)
+
+    def finish(self, work, now):
+        """Note the end of a request, whatever it was."""
+        with self._lock:
+            load = self.get(work.instance_id, now)
+            load.active = max(0, load.active - 1)
+            if not work.is_read:
+                self._note_read(work, load)
+
+    def note_success(self, instance_id, now):
+        """Note a whole answer; return whether it ended an ejection."""
+        load = self.get(instance_id, now)
+        ended = load.until > 0.0
+        load.errors = 0
+        load.until = 0.0
+        load.probing = False
+        if ended:
+            load.pause = _FIRST_PAUSE
+        return ended
+
+    def note_error(self, instance_id, now, severe=False):
+        """Note a failure; return the pause in seconds if it ejects, or None."""
+        load = self.get(instance_id, now)
+        load.errors += 1
+        load.last_error = now
+        if load.errors < _ERRORS_TO_EJECT and not load.probing and not severe:
+            return None
+        if now < load.until:
+            return None
+        load.until = now + load.pause
+        pause, load.pause = load.pause, min(load.pause * 2, _LONGEST_PAUSE)
+        load.probing = False
+        return pause
+
+    def note_released(self, instance_id, now):
+        """Note an end that tells nothing about the instance."""
+        self.get(instance_id, now).probing = False
+
+    def is_usable(self, instance_id, now):
+        """Return whether a request may go there."""
+        load = self.get(instance_id, now)
+        if load.until:
+            return now >= load.until and not load.probing
+        return True
+
+    def is_silent(self, instance_id, now):
+        """Return whether requests run there and nothing has come for long."""
+        load = self.get(instance_id, now)
+        if load.active == 0:
+            return False
+        expected = self.base + load.slowness * load.unread / self.rate
+        return now - load.heard > max(_SILENCE, 2.0 * expected)
+
+    def get_report(self):
+        """Return {instance id: (unread, active)} of this gateway's own work."""
+        with self._lock:
+            return {
+                instance_id: (load.unread, load.active)
+                for instance_id, load in self._by_id.items()
+                if load.active
+            }
+
+    def set_remote(self, totals, now):
+        """Take in the sums of what the peers report."""
+        with self._lock:
+            for instance_id, load in self._by_id.items():
+                unread, active = totals.get(instance_id, (0, 0))
+                load.remote_unread = unread
+                load.remote_active = active
+            for instance_id in totals.keys() - self._by_id.keys():
+                load = self.get(instance_id, now)
+                load.remote_unread, load.remote_active = totals[instance_id]
+
+    def _note_read(self, work, load):
+        work.is_read = True
+        load.unread = max(0, load.unread - work.tokens)
+        load.pending = max(0, load.pending - 1)
+
+    def _learn(self, work, load, elapsed):
+        total = work.ahead + work.tokens
+        reading = elapsed - self.base
+        if total < _LEAST_READ:
+            if work.ahead == 0:
+                self.base += _BASE_MEMORY * (min(elapsed, 1.0) - self.base)
+            return
+        if reading <= 0:
+            return
+        rate = min(_GREATEST_RATE, max(_LEAST_RATE, total / reading))
+        self.rate += _RATE_MEMORY * (rate - self.rate)
+        slowness = self.rate / rate
+        load.slowness += 0.1 * (min(8.0, max(0.5, slowness)) - load.slowness)
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/prompts.py
@@ -0,0 +1,53 @@
+"""What a model request says of its prompt: token counts and shared parts."""
+
+from typing import NamedTuple
+
+
+class Part(NamedTuple):
+    """A part of a prompt; requests with the same id share what was read."""
+
+    id: str
+    tokens: int
+
+
+class Prompt(NamedTuple):
+    """A prompt as the client describes it. The last part is its own."""
+
+    tokens: int
+    max_output: int
+    parts: tuple[Part, ...]
+
+    @property
+    def home(self):
+        """Return the id of the last shared part, or "" where none is shared."""
+        return self.parts[-2].id if len(self.parts) > 1 else ""
+
+    @property
+    def cost(self):
+        """Return the tokens charged to the account: an output token counts twice."""
+        return self.tokens + 2 * self.max_output
+
+
+def parse_prompt(counts, parts):
+    """Return the `Prompt` in two header texts, or None where there is none.
+
+    Parameters
+    ----------
+    counts : str or None
+        ``PROMPT,OUTPUT`` token counts.
+    parts : str or None
+        ``ID:TOKENS`` separated by commas, in order.
+    """
+    if not counts:
+        return None
+    try:
+        tokens, _, output = counts.partition(",")
+        rows = [_parse_part(text) for text in parts.split(",")] if parts else []
+        return Prompt(int(tokens), int(output or 0), tuple(rows))
+    except ValueError:
+        return None
+
+
+def _parse_part(text):
+    name, _, tokens = text.strip().partition(":")
+    return Part(name, int(tokens))
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
@@ -0,0 +1,24 @@
+"""Answers that the gateway itself gives."""
+
+from typing import NamedTuple
+
+from valeweir.models import OUTCOME_HEADER, Outcome
+
+
+class Refusal(NamedTuple):
+    """An answer of our own; ``retry_after`` in seconds, None to leave it out."""
+
+    status: int
+    code: str
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after: float | None = None
+
+
+def send_refusal(reply, refusal, request_id, id_header):
+    """Answer with a refusal."""
+    headers = [(OUTCOME_HEADER, refusal.outcome.value)]
+    if request_id:
+        headers.append((id_header, request_id))
+    if refusal.retry_after is not None:
+        headers.append(("Retry-After", f"{refusal.retry_after:.2f}"))
+    reply.send_json(refusal.status, {"error": refusal.code}, headers)
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -0,0 +1,92 @@
+"""Settings of a gateway: JSON, comments allowed, unknown fields ignored."""
+
+from pathlib import Path
+
+import msgspec
+from valeweir.exceptions import SettingsError
+
+
+class Listen(msgspec.Struct, frozen=True):
+    """Addresses, each ``IP:PORT``."""
+
+    clients: str
+    ready: str
+    fleet: str
+    metrics: str = ""
+
+
+class Store(msgspec.Struct, frozen=True):
+    """The platform's store; times in seconds."""
+
+    address: str
+    poll: float = 5.0
+    timeout: float = 2.0
+
+
+class Retries(msgspec.Struct, frozen=True):
+    """The fleet's budget of repeated sends, see `retries.RetryBudget`."""
+
+    ratio: float = 0.1
+    slack: float = 10.0
+    window: float = 10.0
+
+
+class Stop(msgspec.Struct, frozen=True):
+    """How a planned stop goes, in seconds."""
+
+    grace: float = 10.0
+    balancer_wait: float = 3.2
+
+
+class Sharing(msgspec.Struct, frozen=True):
+    """How capacity is shared; ``window`` in seconds.
+
+    ``mode`` is ``fleet`` (counters exchanged), ``alone`` or ``even``.
+    """
+
+    window: float = 4.0
+    mode: str = "fleet"
+
+
+class GatewaySettings(msgspec.Struct, frozen=True):
+    """Settings of one gateway."""
+
+    host: str
+    domain: str
+    listen: Listen
+    store: Store
+    seeds: list[str] = []
+    retries: Retries = Retries()
+    stop: Stop = Stop()
+    sharing: Sharing = Sharing()
+    threads: int = 400
+
+
+def load_settings(path):
+    """Return the `GatewaySettings` in a file; raises `SettingsError`."""
+    try:
+        text = Path(path).read_bytes()
+    except OSError as exc:
+        raise SettingsError(path, [str(exc)]) from exc
+    return parse_settings(text, path)
+
+
+def parse_settings(text, path="settings"):
+    """Return the `GatewaySettings` in bytes; raises `SettingsError`."""
+    try:
+        return msgspec.json.decode(text, type=GatewaySettings)
+    except msgspec.ValidationError as exc:
+        raise SettingsError(path, [str(exc)]) from exc
+    except msgspec.DecodeError:
+        return _parse_with_comments(text, path)
+
+
+def _parse_with_comments(text, path):
+    # Imported only here: a filled template has no comments, and starts faster.
+    import json5
+
+    try:
+        value = json5.loads(text.decode())
+        return msgspec.convert(value, GatewaySettings)
+    except (ValueError, msgspec.ValidationError) as exc:
+        raise SettingsError(path, [str(exc)]) from exc
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -0,0 +1,76 @@
+"""What the parts of one gateway share."""
+
+import random
+import threading
+import time
+
+from .connections import Connections
+from .directory import Directory
+from .headers import HeaderNames
+from .loads import Loads
+from .retries import RetryBudget
+
+
+class GatewayState:
+    """State of one gateway.
+
+    The catalog is replaced whole and never changed, so that a request reads
+    it once and works on one version to its end.
+    """
+
+    def __init__(self, cfg, log, names=None, clock=time.monotonic, seed=None):
+        names = names or HeaderNames()
+        self.cfg = cfg
+        self.log = log
+        self.names = names
+        self.clock = clock
+        self.rng = random.Random(seed)
+        self.catalog = None
+        self.directory = Directory()
+        self.directory_known = False
+        self.loads = Loads()
+        self.connections = Connections(clock)
+        retries = cfg.retries
+        self.retries = RetryBudget(retries.ratio, retries.slack, retries.window)
+        self.stopping = False
+        self.refusing = False
+        self._inflight = 0
+        self._lock = threading.Lock()
+        self.reserved_headers = frozenset(
+            name.lower()
+            for name in (
+                names.deadline,
+                names.account,
+                names.expected_instance,
+                "Authorization",
+                "Content-Length",
+                "Expect",
+            )
+        )
+
+    @property
+    def inflight(self):
+        """Return how many requests are read and not answered."""
+        return self._inflight
+
+    def is_ready(self):
+        """Return whether the balancer should send clients here."""
+        return self.catalog is not None and self.directory_known and not self.stopping
+
+    def enter(self):
+        """Count a request as in flight."""
+        with self._lock:
+            self._inflight += 1
+
+    def leave(self):
+        """Count a request as answered."""
+        with self._lock:
+            self._inflight -= 1
+
+    def put_catalog(self, catalog):
+        """Put a catalog in force; return False, unchanged, for an older one."""
+        with self._lock:
+            if self.catalog is not None and catalog.version <= self.catalog.version:
+                return False
+            self.catalog = catalog
+        return True
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -0,0 +1,83 @@
+"""Taking records of the store into the gateway's view of the world."""
+
+from .adapters import BadRecord
+
+
+class ViewKeeper:
+    """Applies records; what cannot be decoded is counted and changes nothing."""
+
+    def __init__(self, state, adapter):
+        self._state = state
+        self._adapter = adapter
+        self._bad = set()
+        self.bad_records = 0
+        self.raw_catalog = None
+        self._on_catalog = None
+
+    def apply_catalog(self, entry):
+        """Take in a record of the configuration topic."""
+        if entry.key != self._adapter.catalog_key or entry.value is None:
+            return
+        self.take_catalog(entry.value, "store", entry.offset)
+
+    def take_catalog(self, value, source, offset=None):
+        """Put a catalog in force if it is newer; return whether it was."""
+        try:
+            catalog = self._adapter.decode_catalog(value)
+        except BadRecord as exc:
+            self._note_bad("configuration", offset, exc)
+            return False
+        if not self._state.put_catalog(catalog):
+            return False
+        self.raw_catalog = value
+        self._state.log.note(
+            "configuration in force",
+            version=catalog.version,
+            source=source,
+            offset=offset,
+            routes=len(catalog.routes),
+            accounts=len(catalog.accounts),
+        )
+        return True
+
+    def apply_instance(self, entry):
+        """Take in a record of the instances topic."""
+        state = self._state
+        if entry.value is None:
+            old = state.directory.remove(entry.key)
+            if old is not None:
+                self._drop(old, entry.offset)
+            return
+        try:
+            instance = self._adapter.decode_instance(entry.key, entry.value)
+        except BadRecord as exc:
+            self._note_bad(entry.key, entry.offset, exc)
+            return
+        old = state.directory.by_id.get(instance.id)
+        state.directory.put(instance)
+        if old is None or old.ready != instance.ready:
+            state.log.note(
+                "upstream ready" if instance.ready else "upstream leaving",
+                upstream=instance.id,
+                service=instance.service,
+                address=instance.address,
+                offset=entry.offset,
+            )
+
+    def note_listed(self):
+        """Note that every instance the store knows has been taken in."""
+        self._state.directory_known = True
+
+    def _drop(self, instance, offset):
+        state = self._state
+        state.connections.drop(instance.id)
+        state.loads.forget(instance.id)
+        state.log.note("upstream gone", upstream=instance.id, offset=offset)
+
+    def _note_bad(self, what, offset, exc):
+        self.bad_records += 1
+        if what not in self._bad:
+            self._bad.add(what)
+            self._state.log.note(
+                "bad record", failed=True, key=what, offset=offset, why=str(exc)
+            )
