--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -1,6 +1,5 @@
 """The way of one request: checks, place, send, answer."""
 
-
 from valeweir.models import Outcome
 
 from . import streams
