--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -24,6 +24,7 @@
 _PROMISES = frozenset((408, 421, 429, 503))
 _SERVER_ERROR = 500
 _UNREADY_RETRY = 0.5
+_ELSEWHERE_RETRY = 0.05
 _BUSY_RETRY = 0.4
 
 
@@ -91,7 +92,9 @@
 
 def _check(state, job):
     """Fill in the job; return a `Refusal` for what cannot be served."""
-    if job.catalog is None or state.refusing:
+    if state.refusing:
+        return Refusal(503, "stopping", retry_after=_ELSEWHERE_RETRY)
+    if job.catalog is None:
         return Refusal(503, "not-ready", retry_after=_UNREADY_RETRY)
     headers = job.request.headers
     path = job.request.target.partition("?")[0]
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -55,7 +55,7 @@
         end = started + stop.grace - _GRACE_MARGIN
         # Until the balancer has noticed, new connections still come.
         self._wait(min(end, started + stop.balancer_wait), lambda: False)
-        self._wait(end, lambda: state.inflight == 0)
+        # A stream taken any later might outlast the grace.
         state.refusing = True
         self._wait(min(end, time.monotonic() + _LAST_WAIT), lambda: False)
         self._wait(end, lambda: state.inflight == 0)
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -35,7 +35,7 @@
     """How a planned stop goes, in seconds."""
 
     grace: float = 10.0
-    balancer_wait: float = 3.2
+    balancer_wait: float = 2.6
 
 
 class Sharing(msgspec.Struct, frozen=True):
