--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -0,0 +1,43 @@
+"""Whether a model request goes out now or is told when to come back."""
+
+from .refusals import Refusal
+
+_GOAL_PART = 0.65
+_LEAST_RETRY = 0.3
+_RETURNED_PART = 0.97
+_RETURNED_FACTOR = 0.9
+_RETRY_PART = 1 / 3
+
+
+def decide(state, job, choice, now):
+    """Return None to send, or the `Refusal`.
+
+    A request goes out while its first event is expected well within the
+    route's goal, since half of the waits turn out longer than expected, and
+    earlier still where its account has had more than its share.
+    """
+    limit = _GOAL_PART * job.route.goal * get_factor(state, job, now)
+    if choice.wait <= limit:
+        return None
+    left = job.deadline - now
+    retry_after = max(_LEAST_RETRY, choice.wait - limit / 2)
+    return Refusal(
+        503, "engines-busy", retry_after=min(retry_after, left * _RETRY_PART)
+    )
+
+
+def get_factor(state, job, now):
+    """Return the part of the goal that the request may wait."""
+    if job.account is None:
+        return 1.0
+    rate = job.catalog.limits.tokens_per_second
+    factor = state.shares.get_factor(job.account.name, rate, now)
+    if is_returned(job):
+        # Refusing it again would make its client lose the whole request.
+        return max(factor, _RETURNED_FACTOR)
+    return factor
+
+
+def is_returned(job):
+    """Return whether less time is left than the route gives: a second try."""
+    return job.allowed < _RETURNED_PART * job.route.timeout
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -2,7 +2,7 @@
 
 from valeweir.models import Outcome
 
-from . import streams
+from . import admission, streams
 from .catalog import RouteKind
 from .connections import connect
 from .exchanges import (
@@ -23,6 +23,7 @@
 _FRESH_WITHIN = 1.0
 _PROMISES = frozenset((408, 421, 429, 503))
 _SERVER_ERROR = 500
+_MISDIRECTED = 421
 _UNREADY_RETRY = 0.5
 _ELSEWHERE_RETRY = 0.05
 _BUSY_RETRY = 0.4
@@ -33,6 +34,7 @@
 
     __slots__ = (
         "account",
+        "allowed",
         "answered",
         "arrived",
         "catalog",
@@ -57,6 +59,7 @@
         self.route = None
         self.account = None
         self.prompt = None
+        self.allowed = 0.0
         self.deadline = arrived
         self.service = None
         self.excluded = set()
@@ -106,7 +109,8 @@
         job.account = job.catalog.find_account(key.strip())
         if job.account is None or scheme.lower() != "bearer":
             return Refusal(401, "unknown-key")
-    job.deadline = job.arrived + _get_time_allowed(state, job)
+    job.allowed = _get_time_allowed(state, job)
+    job.deadline = job.arrived + job.allowed
     job.service = _choose_service(state, job.route)
     job.last_event_id = headers.get(_title(state.names.last_event_id))
     if job.route.kind is RouteKind.STREAM:
@@ -181,13 +185,19 @@
         zone = state.cfg.domain
         return choose_instance(usable, state.loads, zone, now, state.rng)
     choice = choose_engine(job.prompt, usable, state.loads, now)
-    goal = job.route.goal
-    if job.sends == 0 and choice.wait > goal:
-        retry_after = max(0.3, choice.wait - goal / 2)
-        return Refusal(503, "engines-busy", retry_after=retry_after)
+    if job.sends == 0:
+        refusal = admission.decide(state, job, choice, now)
+        _note_usage(state, job, refusal is None, now)
+        if refusal is not None:
+            return refusal
     return choice
 
 
+def _note_usage(state, job, begun, now):
+    if job.account is not None:
+        state.shares.note(job.account.name, job.prompt.cost, begun, now)
+
+
 def _attempt(state, job, choice):
     """Send once; return None when answered, or the `Failure`."""
     instance = choice.instance
@@ -210,16 +220,26 @@
     job.sends += 1
     work = state.loads.start(instance.id, choice.tokens, now)
     if job.prompt is not None:
-        state.loads.note_parts(job.prompt.parts[:-1], instance.id, now)
+        _note_reads(state, job, choice, now)
     try:
         failure = _exchange(state, job, choice, exchange, work)
     finally:
         exchange.close()
         state.loads.finish(work, state.clock())
-    _note_result(state, job, choice, failure)
+    _note_result(state, job, choice, failure, work)
     return failure
 
 
+def _note_reads(state, job, choice, now):
+    shared = job.prompt.parts[:-1]
+    instance_id = choice.instance.id
+    if choice.reason != "home":
+        known = state.loads.is_cached
+        news = [p for p in shared if not known(p.id, instance_id, now)]
+        state.reads.add(instance_id, news)
+    state.loads.note_parts(shared, instance_id, now)
+
+
 def _get_socket(state, job, instance):
     repeatable = job.route.repeatable
     longest_idle = 4.0 if repeatable else _FRESH_WITHIN
@@ -241,7 +261,7 @@
         return head
     if not isinstance(head, Head):
         return Failure(Fault.AMBIGUOUS, "no head")
-    if state.names.not_run.lower() in head.headers or head.status == 421:
+    if state.names.not_run.lower() in head.headers or head.status == _MISDIRECTED:
         return _reject(exchange, head)
     signed = state.names.signature.lower() in head.headers
     if head.status < 300 and not signed:
@@ -319,14 +339,17 @@
 
 
 def _may_repeat(state, job, failure):
-    if failure.fault in (Fault.GONE, Fault.LATE):
+    if failure.status == _MISDIRECTED:
+        state.loads.note_replaced(instance_id, now)
+        state.connections.drop(instance_id)
+    elif failure.fault in (Fault.GONE, Fault.LATE):
         return False
     if job.reply.started and not _may_resume(job):
         return False
     unrun = failure.fault is Fault.REJECTED
     if not unrun and not job.route.repeatable:
         return False
-    misdirected = unrun and failure.status == 421
+    misdirected = unrun and failure.status == _MISDIRECTED
     if job.sends >= job.route.max_attempts and not misdirected:
         return False
     if job.sends > job.route.max_attempts:
@@ -381,7 +404,7 @@
         job.reply.close()
 
 
-def _note_result(state, job, choice, failure):
+def _note_result(state, job, choice, failure, work):
     now = state.clock()
     if failure is not None:
         _note_failure(state, job, choice, failure)
@@ -399,6 +422,8 @@
         reason=choice.reason,
         expected_ms=_to_ms(choice.wait),
         unread=choice.tokens,
+        ahead=work.ahead,
+        first_ms=_to_ms(work.first or 0.0),
         sends=job.sends,
         took_ms=_to_ms(now - job.arrived),
     )
@@ -408,7 +433,10 @@
     now = state.clock()
     instance_id = choice.instance.id
     pause = None
-    if failure.fault in (Fault.GONE, Fault.LATE, Fault.REJECTED):
+    if failure.status == _MISDIRECTED:
+        state.loads.note_replaced(instance_id, now)
+        state.connections.drop(instance_id)
+    elif failure.fault in (Fault.GONE, Fault.LATE, Fault.REJECTED):
         state.loads.note_released(instance_id, now)
     else:
         severe = failure.fault is Fault.NOT_SENT
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -2,15 +2,19 @@
 
 import threading
 import time
+from typing import NamedTuple
 
 from valeweir.servers import create_server
 from valeweir.timers import TimerService
 
 from .decisions import DecisionLog
+from .fleet import Fleet
 from .forwarding import create_handler
+from .publishing import Publisher
 from .sockets import prepare_socket
 from .states import GatewayState
 from .stores import TopicFollower
+from .syncing import VIEW_PATH, ViewSync, encode_view
 from .views import ViewKeeper
 
 _READY_THREADS = 4
@@ -20,6 +24,14 @@
 _STALE_CHECK = 1.0
 
 
+class Followers(NamedTuple):
+    """One follower for each topic of the store."""
+
+    catalog: TopicFollower
+    instances: TopicFollower
+    members: TopicFollower
+
+
 class Gateway:
     """A running gateway."""
 
@@ -27,18 +39,36 @@
         self.state = state
         self.stopped = threading.Event()
         self.timers = TimerService(clock=time.monotonic)
-        self.views = ViewKeeper(state, adapter)
         self._clients = clients
         self._ready = ready
-        self._followers = _create_followers(state, adapter, self.views)
+        self._followers = _create_followers(state, adapter)
+        listen = state.cfg.listen
+        self._fleet = Fleet(state, listen.reports)
+        self._views = create_server(
+            listen.fleet, self._create_view_handler(), threads=_READY_THREADS
+        )
+        self._sync = ViewSync(
+            state,
+            self._followers.catalog,
+            self._followers.instances,
+            int(listen.fleet.rpartition(":")[2]),
+        )
+        self._publisher = Publisher(state, adapter, listen.reports)
 
     def start(self):
         """Start every thread; returns at once."""
         state = self.state
         state.log.start()
         state.log.note("started", settings=state.cfg.listen.clients)
+        port = state.cfg.listen.reports.rpartition(":")[2]
+        for seed in state.cfg.seeds:
+            state.members.add_address(f"{seed.rpartition(':')[0]}:{port}")
         for follower in self._followers:
             follower.start(self.stopped)
+        self._fleet.start(self.stopped)
+        self._views.start_threads()
+        self._sync.start(self.stopped)
+        self._publisher.start(self.stopped)
         self._ready.start_threads()
         self._clients.start_threads()
         self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
@@ -74,6 +104,19 @@
         retries.window = cfg.retries.window
         self.state.log.note("settings reloaded")
 
+    def _create_view_handler(self):
+        def handle(request, reply):
+            if request.path != VIEW_PATH or self.state.catalog is None:
+                reply.send(404, [], b"")
+                return
+            data = encode_view(
+                self._followers.catalog.get_listing(),
+                self._followers.instances.get_listing(),
+            )
+            reply.send(200, [("Content-Type", "application/msgpack")], data)
+
+        return handle
+
     def _wait(self, deadline, is_done):
         while time.monotonic() < deadline and not is_done():
             time.sleep(_STOP_POLL)
@@ -118,24 +161,17 @@
     return handle
 
 
-def _create_followers(state, adapter, views):
-    poll = state.cfg.store.poll
-    catalog = TopicFollower(
-        adapter.store,
-        adapter.catalog_topic,
-        views.apply_catalog,
-        lambda: None,
-        state.log,
-        poll,
-        state.clock,
-    )
-    instances = TopicFollower(
-        adapter.store,
-        adapter.instance_topic,
-        views.apply_instance,
-        views.note_listed,
-        state.log,
-        poll,
-        state.clock,
+def _create_followers(state, adapter):
+    views = ViewKeeper(state, adapter)
+
+    def follow(topic, apply, on_listed):
+        poll = state.cfg.store.poll
+        return TopicFollower(
+            adapter.store, topic, apply, on_listed, state.log, poll, state.clock
+        )
+
+    return Followers(
+        follow(adapter.catalog_topic, views.apply_catalog, lambda end: None),
+        follow(adapter.instance_topic, views.apply_instance, views.note_directory),
+        follow(adapter.member_topic, views.apply_member, lambda end: None),
     )
-    return [catalog, instances]
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -6,8 +6,11 @@
 learned from how long first events took.
 """
 
+import collections
 import threading
 
+from .reports import get_digest
+
 _FIRST_RATE = 30_000.0
 _LEAST_RATE = 2_000.0
 _GREATEST_RATE = 400_000.0
@@ -17,6 +20,7 @@
 _LEAST_READ = 1_500
 _CACHE_LIFETIME = 60.0
 _MAX_PARTS = 20_000
+_MAX_READS = 200
 _SILENCE = 1.0
 _ERRORS_TO_EJECT = 2
 _FIRST_PAUSE = 0.7
@@ -59,13 +63,14 @@
 class Work:
     """One request at an instance, from its send to its end."""
 
-    __slots__ = ("ahead", "instance_id", "is_read", "sent", "tokens")
+    __slots__ = ("ahead", "first", "instance_id", "is_read", "sent", "tokens")
 
     def __init__(self, instance_id, tokens, ahead, sent):
         self.instance_id = instance_id
         self.tokens = tokens
         self.ahead = ahead
         self.sent = sent
+        self.first = None
         self.is_read = False
 
 
@@ -98,18 +103,18 @@
 
     def is_cached(self, part_id, instance_id, now):
         """Return whether the instance has probably read the part lately."""
-        at = self._parts.get(part_id, {}).get(instance_id)
+        at = self._parts.get(get_digest(part_id), {}).get(instance_id)
         return at is not None and now - at < _CACHE_LIFETIME
 
-    def get_holders(self, part_id):
-        """Return {instance id: time of the last read} of a part."""
-        return self._parts.get(part_id, {})
-
     def note_parts(self, parts, instance_id, now):
         """Note that the instance reads these parts."""
+        for part in parts:
+            self.note_digest(get_digest(part.id), instance_id, now)
+
+    def note_digest(self, digest, instance_id, now):
+        """Note that the instance reads the part with this digest."""
         with self._lock:
-            for part in parts:
-                self._parts.setdefault(part.id, {})[instance_id] = now
+            self._parts.setdefault(digest, {})[instance_id] = now
             while len(self._parts) > _MAX_PARTS:
                 self._parts.pop(next(iter(self._parts)))
 
@@ -139,9 +144,10 @@
         load.heard = now
         if work.is_read:
             return
+        work.first = now - work.sent
         with self._lock:
             self._note_read(work, load)
-            self._learn(work, load, now - work.sent)
+            self._learn(work, load, work.first)
 
     def finish(self, work, now):
         """Note the end of a request, whatever it was."""
@@ -176,6 +182,12 @@
         load.probing = False
         return pause
 
+    def note_replaced(self, instance_id, now):
+        """Note that another instance has the address; this one is gone."""
+        load = self.get(instance_id, now)
+        load.until = now + _LONGEST_PAUSE
+        load.probing = False
+
     def note_released(self, instance_id, now):
         """Note an end that tells nothing about the instance."""
         self.get(instance_id, now).probing = False
@@ -233,3 +245,26 @@
         self.rate += _RATE_MEMORY * (rate - self.rate)
         slowness = self.rate / rate
         load.slowness += 0.1 * (min(8.0, max(0.5, slowness)) - load.slowness)
+
+
+class Reads:
+    """Prompt parts read away from their home, for the peers to know."""
+
+    def __init__(self):
+        self._rows = collections.deque(maxlen=_MAX_READS)
+
+    def add(self, instance_id, parts):
+        """Note that the instance reads these parts."""
+        for part in parts:
+            self._rows.append((get_digest(instance_id), get_digest(part.id)))
+
+    def has_news(self):
+        """Return whether there is something to tell."""
+        return bool(self._rows)
+
+    def take(self, most):
+        """Return and forget up to ``most`` rows."""
+        rows = []
+        while self._rows and len(rows) < most:
+            rows.append(self._rows.popleft())
+        return rows
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -7,11 +7,16 @@
 
 
 class Listen(msgspec.Struct, frozen=True):
-    """Addresses, each ``IP:PORT``."""
+    """Addresses, each ``IP:PORT``.
+
+    ``fleet`` serves the view of the world to other gateways over HTTP;
+    ``reports`` takes their datagrams. Both ports are the same fleet-wide.
+    """
 
     clients: str
     ready: str
     fleet: str
+    reports: str
     metrics: str = ""
 
 
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -0,0 +1,58 @@
+"""How far each client account is in its fair share of what the fleet serves."""
+
+import threading
+
+from .reports import get_digest
+from .usage import compute_level
+
+_REFRESH = 0.05
+_LEAST_FACTOR = 0.35
+
+
+class Shares:
+    """Standing of accounts by the fleet-wide usage window.
+
+    The level is max-min over what accounts asked; what can be given is what
+    the configuration declares, or what was begun if that is more: prompt
+    parts read before cost less than declared, and engines must not idle.
+    """
+
+    def __init__(self, usage, cfg):
+        self._usage = usage
+        self._window = cfg.window
+        self._mode = cfg.mode
+        self._lock = threading.Lock()
+        self._at = -1.0
+        self._level = float("inf")
+        self._amounts = {}
+
+    def note(self, account, cost, begun, now):
+        """Count a request's tokens as asked, and as begun if it was sent."""
+        self._usage.add(get_digest(account), cost, cost if begun else 0, now)
+
+    def get_factor(self, account, tokens_per_second, now):
+        """Return which part of the wait limit the account may use, up to 1.
+
+        An account beyond its share meets a lower limit, so that what is left
+        of the engines' queues goes to those below theirs.
+        """
+        with self._lock:
+            self._refresh(tokens_per_second, now)
+            amount = self._amounts.get(get_digest(account))
+            if amount is None or amount.begun <= self._level:
+                return 1.0
+            return max(_LEAST_FACTOR, self._level / amount.begun)
+
+    def get_level(self):
+        """Return the level in tokens a window, for the log."""
+        return self._level
+
+    def _refresh(self, tokens_per_second, now):
+        if now - self._at < _REFRESH:
+            return
+        self._at = now
+        self._amounts = self._usage.get_amounts(now)
+        begun = sum(amount.begun for amount in self._amounts.values())
+        capacity = max(begun, tokens_per_second * self._window)
+        asked = [amount.asked for amount in self._amounts.values()]
+        self._level = compute_level(asked, capacity)
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -7,8 +7,11 @@
 from .connections import Connections
 from .directory import Directory
 from .headers import HeaderNames
-from .loads import Loads
+from .loads import Loads, Reads
+from .members import Members
 from .retries import RetryBudget
+from .shares import Shares
+from .usage import UsageWindow
 
 
 class GatewayState:
@@ -28,7 +31,12 @@
         self.catalog = None
         self.directory = Directory()
         self.directory_known = False
+        self.directory_offset = 0
         self.loads = Loads()
+        self.reads = Reads()
+        self.members = Members(cfg.host, cfg.listen.reports)
+        self.usage = UsageWindow(cfg.sharing.window)
+        self.shares = Shares(self.usage, cfg.sharing)
         self.connections = Connections(clock)
         retries = cfg.retries
         self.retries = RetryBudget(retries.ratio, retries.slack, retries.window)
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -60,7 +60,7 @@
     apply : callable
         Called with each `Entry` that is newer than what was known of its key.
     on_listed : callable
-        Called after each listing has been applied.
+        Called with the end offset after each listing or batch has been applied.
     """
 
     def __init__(self, store, topic, apply, on_listed, log, poll, clock):
@@ -72,8 +72,10 @@
         self._poll = poll
         self._clock = clock
         self._offsets = {}
-        self._live_keys = set()
         self._next = None
+        self._lock = threading.RLock()
+        self._entries = {}
+        self.end = 0
         self._pause = _FIRST_PAUSE
         self._available = None
         self.heard = None
@@ -108,33 +110,51 @@
         self._set_available(True, "")
         return True
 
+    def get_listing(self):
+        """Return what is known as a `Listing`, for a peer."""
+        with self._lock:
+            return Listing(list(self._entries.values()), self.end)
+
+    def adopt(self, listing):
+        """Take in a peer's listing; older records than ours change nothing."""
+        with self._lock:
+            self._take_listing(listing)
+
     def _list(self):
         listing = self._store.list_newest(self._topic)
+        with self._lock:
+            self._take_listing(listing)
+            self._next = listing.end
+        self.heard = self._clock()
+
+    def _take_listing(self, listing):
         named = {entry.key for entry in listing.entries}
         for entry in listing.entries:
             self._take(entry)
-        for key in self._live_keys - named:
+        for key in self._entries.keys() - named:
             # The key was dropped while nothing was heard.
-            self._take(Entry(key, None, listing.end))
-        self._next = listing.end
-        self.heard = self._clock()
-        self._on_listed()
+            self._take(Entry(key, None, listing.end - 1))
+        self.end = max(self.end, listing.end)
+        self._on_listed(self.end)
 
     def _read(self):
         batch = self._store.read(self._topic, self._next, self._poll)
-        for entry in batch.entries:
-            self._take(entry)
-        self._next = batch.end
+        with self._lock:
+            for entry in batch.entries:
+                self._take(entry)
+            self._next = batch.end
+            self.end = max(self.end, batch.end)
+            self._on_listed(self.end)
         self.heard = self._clock()
 
     def _take(self, entry):
-        if entry.offset < self._offsets.get(entry.key, -1):
+        if entry.offset <= self._offsets.get(entry.key, -1):
             return
         self._offsets[entry.key] = entry.offset
         if entry.value is None:
-            self._live_keys.discard(entry.key)
+            self._entries.pop(entry.key, None)
         else:
-            self._live_keys.add(entry.key)
+            self._entries[entry.key] = entry
         self._apply(entry)
 
     def _set_available(self, available, why):
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -11,34 +11,25 @@
         self._adapter = adapter
         self._bad = set()
         self.bad_records = 0
-        self.raw_catalog = None
-        self._on_catalog = None
 
     def apply_catalog(self, entry):
         """Take in a record of the configuration topic."""
         if entry.key != self._adapter.catalog_key or entry.value is None:
             return
-        self.take_catalog(entry.value, "store", entry.offset)
-
-    def take_catalog(self, value, source, offset=None):
-        """Put a catalog in force if it is newer; return whether it was."""
         try:
-            catalog = self._adapter.decode_catalog(value)
+            catalog = self._adapter.decode_catalog(entry.value)
         except BadRecord as exc:
-            self._note_bad("configuration", offset, exc)
-            return False
+            self._note_bad("configuration", entry.offset, exc)
+            return
         if not self._state.put_catalog(catalog):
-            return False
-        self.raw_catalog = value
+            return
         self._state.log.note(
             "configuration in force",
             version=catalog.version,
-            source=source,
-            offset=offset,
+            offset=entry.offset,
             routes=len(catalog.routes),
             accounts=len(catalog.accounts),
         )
-        return True
 
     def apply_instance(self, entry):
         """Take in a record of the instances topic."""
@@ -64,9 +55,15 @@
                 offset=entry.offset,
             )
 
-    def note_listed(self):
-        """Note that every instance the store knows has been taken in."""
+    def apply_member(self, entry):
+        """Take in a record of the members topic: where a gateway listens."""
+        if entry.value is not None:
+            self._state.members.add_address(entry.value.decode("latin-1"))
+
+    def note_directory(self, offset):
+        """Note that every instance known before ``offset`` has been taken in."""
         self._state.directory_known = True
+        self._state.directory_offset = offset
 
     def _drop(self, instance, offset):
         state = self._state
