--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -77,6 +77,9 @@
         state.enter()
         try:
             _handle(state, request, reply)
+        except Exception as exc:
+            # One request's fault must neither end a thread nor go unanswered.
+            _fail(state, request, reply, exc)
         finally:
             state.leave()
 
@@ -93,6 +96,19 @@
         _refuse(state, job, refusal)
 
 
+def _fail(state, request, reply, exc):
+    request_id = request.headers.get(_title(state.names.request_id), "")
+    state.log.note("request failed", failed=True, id=request_id, why=repr(exc))
+    if reply.started:
+        reply.cut()
+        return
+    refusal = Refusal(502, "internal", Outcome.UNKNOWN)
+    try:
+        send_refusal(reply, refusal, request_id, state.names.request_id)
+    except OSError:
+        reply.close()
+
+
 def _check(state, job):
     """Fill in the job; return a `Refusal` for what cannot be served."""
     if state.refusing:
@@ -339,10 +355,7 @@
 
 
 def _may_repeat(state, job, failure):
-    if failure.status == _MISDIRECTED:
-        state.loads.note_replaced(instance_id, now)
-        state.connections.drop(instance_id)
-    elif failure.fault in (Fault.GONE, Fault.LATE):
+    if failure.fault in (Fault.GONE, Fault.LATE):
         return False
     if job.reply.started and not _may_resume(job):
         return False
