--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -405,6 +405,7 @@
 
 
 def _refuse(state, job, refusal):
+    state.metrics.refused.labels(refusal.code).inc()
     state.log.note(
         "request refused",
         failed=True,
@@ -434,6 +435,12 @@
     if failure is not None:
         _note_failure(state, job, choice, failure)
         return
+    kind = job.route.kind.value
+    state.metrics.served.labels(kind, job.answered).inc()
+    state.metrics.request_seconds.labels(kind).observe(now - job.arrived)
+    if work.first is not None and job.prompt is not None:
+        state.metrics.first_seconds.observe(work.first)
+        state.metrics.expected_seconds.observe(choice.wait)
     if state.loads.note_success(choice.instance.id, now):
         state.log.note("upstream back", upstream=choice.instance.id)
     state.log.note(
@@ -458,6 +465,7 @@
     now = state.clock()
     instance_id = choice.instance.id
     pause = None
+    state.metrics.send_failures.labels(failure.fault.value).inc()
     if failure.status == _MISDIRECTED:
         state.loads.note_replaced(instance_id, now)
         state.connections.drop(instance_id)
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -7,6 +7,7 @@
 from valeweir.servers import create_server
 from valeweir.timers import TimerService
 
+from . import metrics
 from .decisions import DecisionLog
 from .fleet import Fleet
 from .forwarding import create_handler
@@ -17,7 +18,8 @@
 from .syncing import VIEW_PATH, ViewSync, encode_view
 from .views import ViewKeeper
 
-_READY_THREADS = 4
+_SIDE_THREADS = 4
+METRICS_PATH = "/metrics"
 _STOP_POLL = 0.05
 _LAST_WAIT = 0.1
 _GRACE_MARGIN = 0.4
@@ -45,7 +47,7 @@
         listen = state.cfg.listen
         self._fleet = Fleet(state, listen.reports)
         self._views = create_server(
-            listen.fleet, self._create_view_handler(), threads=_READY_THREADS
+            listen.fleet, self._create_view_handler(), threads=_SIDE_THREADS
         )
         self._sync = ViewSync(
             state,
@@ -53,6 +55,7 @@
             self._followers.instances,
             int(listen.fleet.rpartition(":")[2]),
         )
+        self._metrics = _create_metrics_server(state, self._update_gauges)
         self._publisher = Publisher(state, adapter, listen.reports)
 
     def start(self):
@@ -69,6 +72,8 @@
         self._views.start_threads()
         self._sync.start(self.stopped)
         self._publisher.start(self.stopped)
+        if self._metrics is not None:
+            self._metrics.start_threads()
         self._ready.start_threads()
         self._clients.start_threads()
         self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
@@ -99,8 +104,9 @@
         """Close every port and end every thread; what is in flight is cut."""
         self.stopped.set()
         self.timers.stop()
-        for server in (self._clients, self._ready, self._views):
-            server.stop()
+        for server in (self._clients, self._ready, self._views, self._metrics):
+            if server is not None:
+                server.stop()
         self._fleet.close()
 
     def reload(self, cfg):
@@ -129,6 +135,17 @@
         while time.monotonic() < deadline and not is_done():
             time.sleep(_STOP_POLL)
 
+    def _update_gauges(self):
+        state = self.state
+        gauges = state.metrics
+        gauges.inflight.set(state.inflight)
+        gauges.catalog_version.set(state.catalog.version if state.catalog else 0)
+        gauges.live_peers.set(len(state.members.get_live(state.clock())))
+        gauges.instances.set(len(state.directory.by_id))
+        gauges.report_bytes.set(self._fleet.sent_bytes)
+        gauges.left_out.set(state.log.left_out)
+        gauges.bad_records.set(state.bad_records)
+
     def _apply_limits(self):
         catalog = self.state.catalog
         if catalog is None:
@@ -143,18 +160,23 @@
     """Return a `Gateway` for checked settings, its ports bound on start."""
     log = log or DecisionLog(identity={"host": cfg.host})
     state = GatewayState(cfg, log, adapter.names)
+
+    def note_malformed(code):
+        state.metrics.malformed.labels(code).inc()
+        log.note("request malformed", failed=True, why=code)
+
     clients = create_server(
         cfg.listen.clients,
         create_handler(state),
         threads=cfg.threads,
         timeout=15.0,
-        note_refusal=lambda code: log.note("request malformed", failed=True, why=code),
+        note_refusal=note_malformed,
         prepare_socket=prepare_socket,
     )
     ready = create_server(
         cfg.listen.ready,
         _create_ready_handler(state, adapter.ready_path),
-        threads=_READY_THREADS,
+        threads=_SIDE_THREADS,
     )
     return Gateway(state, adapter, clients, ready)
 
@@ -169,6 +191,22 @@
     return handle
 
 
+def _create_metrics_server(state, update):
+    address = state.cfg.listen.metrics
+    if not address:
+        return None
+
+    def handle(request, reply):
+        if request.path != METRICS_PATH:
+            reply.send(404, [], b"")
+            return
+        update()
+        data = state.metrics.render()
+        reply.send(200, [("Content-Type", metrics.CONTENT_TYPE)], data)
+
+    return create_server(address, handle, threads=_SIDE_THREADS)
+
+
 def _create_followers(state, adapter):
     views = ViewKeeper(state, adapter)
 
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -0,0 +1,63 @@
+"""Counters and histograms of one gateway, for Prometheus."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.exposition import generate_latest
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+_SECONDS = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+
+
+class GatewayMetrics:
+    """Every metric of a gateway, in a registry of its own."""
+
+    def __init__(self):
+        self.registry = CollectorRegistry()
+        self.served = self._counter(
+            "requests_served",
+            "Answers passed on, by route kind and status",
+            "kind status",
+        )
+        self.refused = self._counter(
+            "requests_refused", "Answers of our own, by reason", "code"
+        )
+        self.send_failures = self._counter(
+            "send_failures", "Sends without a whole answer, by fault", "fault"
+        )
+        self.malformed = self._counter(
+            "requests_malformed", "Requests that do not parse, by status", "code"
+        )
+        self.request_seconds = self._histogram(
+            "request_seconds", "Time from the request to the end of its answer", "kind"
+        )
+        self.first_seconds = self._histogram(
+            "first_event_seconds", "Time from the send to the first event", ""
+        )
+        self.expected_seconds = self._histogram(
+            "expected_first_event_seconds", "What was expected of it at the send", ""
+        )
+        self.inflight = self._gauge("inflight_requests", "Requests read, not answered")
+        self.catalog_version = self._gauge("catalog_version", "Version in force")
+        self.live_peers = self._gauge("live_peers", "Gateways heard from lately")
+        self.instances = self._gauge("upstream_instances", "Upstream instances known")
+        self.report_bytes = self._gauge("report_bytes_sent", "Bytes of reports sent")
+        self.left_out = self._gauge("log_lines_left_out", "Log lines above the rate")
+        self.bad_records = self._gauge("bad_records", "Store records not decoded")
+
+    def render(self):
+        """Return the metrics as text."""
+        return generate_latest(self.registry)
+
+    def _counter(self, name, text, labels):
+        return Counter(f"valeweir_{name}", text, labels.split(), registry=self.registry)
+
+    def _gauge(self, name, text):
+        return Gauge(f"valeweir_{name}", text, registry=self.registry)
+
+    def _histogram(self, name, text, labels):
+        return Histogram(
+            f"valeweir_{name}",
+            text,
+            labels.split(),
+            buckets=_SECONDS,
+            registry=self.registry,
+        )
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -9,6 +9,7 @@
 from .headers import HeaderNames
 from .loads import Loads, Reads
 from .members import Members
+from .metrics import GatewayMetrics
 from .retries import RetryBudget
 from .shares import Shares
 from .usage import UsageWindow
@@ -25,6 +26,7 @@
         names = names or HeaderNames()
         self.cfg = cfg
         self.log = log
+        self.metrics = GatewayMetrics()
         self.names = names
         self.clock = clock
         self.rng = random.Random(seed)
@@ -32,6 +34,7 @@
         self.directory = Directory()
         self.directory_known = False
         self.directory_offset = 0
+        self.bad_records = 0
         self.loads = Loads()
         self.reads = Reads()
         self.members = Members(cfg.host, cfg.listen.reports)
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -10,7 +10,6 @@
         self._state = state
         self._adapter = adapter
         self._bad = set()
-        self.bad_records = 0
 
     def apply_catalog(self, entry):
         """Take in a record of the configuration topic."""
@@ -72,7 +71,7 @@
         state.log.note("upstream gone", upstream=instance.id, offset=offset)
 
     def _note_bad(self, what, offset, exc):
-        self.bad_records += 1
+        self._state.bad_records += 1
         if what not in self._bad:
             self._bad.add(what)
             self._state.log.note(
