--- a/packages/valeweir_gateway/src/valeweir_gateway/adapters.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/adapters.py
@@ -16,7 +16,8 @@
 
     ``decode_catalog`` takes the bytes of a configuration record and returns a
     `catalog.Catalog`; ``decode_instance`` takes a key and bytes and returns a
-    `directory.Instance`. Both raise `BadRecord`.
+    `directory.Instance`. Both raise `BadRecord`. ``list_parts`` takes the
+    address of an engine and returns the ids of the prompt parts it keeps.
     """
 
     names: HeaderNames
@@ -28,3 +29,4 @@
     member_topic: str
     decode_catalog: Callable
     decode_instance: Callable
+    list_parts: Callable
--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -3,6 +3,7 @@
 from .refusals import Refusal
 
 _GOAL_PART = 0.65
+_AHEAD_PART = 0.2
 _LEAST_RETRY = 0.3
 _RETURNED_PART = 0.97
 _RETURNED_FACTOR = 0.9
@@ -16,7 +17,10 @@
     route's goal, since half of the waits turn out longer than expected, and
     earlier still where its account has had more than its share.
     """
-    limit = _GOAL_PART * job.route.goal * get_factor(state, job, now)
+    allowed = job.route.goal * get_factor(state, job, now)
+    # A prompt too long for its goal gains nothing by coming back; it goes out
+    # where little is ahead of it.
+    limit = max(_GOAL_PART * allowed, choice.alone + _AHEAD_PART * allowed)
     if choice.wait <= limit:
         return None
     left = job.deadline - now
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -254,10 +254,10 @@
 def _note_reads(state, job, choice, now):
     shared = job.prompt.parts[:-1]
     instance_id = choice.instance.id
-    if choice.reason != "home":
-        known = state.loads.is_cached
-        news = [p for p in shared if not known(p.id, instance_id, now)]
-        state.reads.add(instance_id, news)
+    known = state.loads.is_cached
+    state.reads.add(
+        instance_id, [part for part in shared if not known(part.id, instance_id, now)]
+    )
     state.loads.note_parts(shared, instance_id, now)
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -8,6 +8,7 @@
 from valeweir.timers import TimerService
 
 from . import metrics
+from .caches import CacheScout
 from .decisions import DecisionLog
 from .fleet import Fleet
 from .forwarding import create_handler
@@ -24,6 +25,7 @@
 _LAST_WAIT = 0.1
 _GRACE_MARGIN = 0.4
 _STALE_CHECK = 1.0
+_CACHE_CHECK = 0.2
 
 
 class Followers(NamedTuple):
@@ -55,6 +57,7 @@
             self._followers.instances,
             int(listen.fleet.rpartition(":")[2]),
         )
+        self._scout = CacheScout(state, adapter.list_parts)
         self._metrics = _create_metrics_server(state, self._update_gauges)
         self._publisher = Publisher(state, adapter, listen.reports)
 
@@ -72,11 +75,13 @@
         self._views.start_threads()
         self._sync.start(self.stopped)
         self._publisher.start(self.stopped)
+        self._scout.start(self.stopped)
         if self._metrics is not None:
             self._metrics.start_threads()
         self._ready.start_threads()
         self._clients.start_threads()
         self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
+        self.timers.subscribe("caches", _CACHE_CHECK, self._scout.find_new)
         self.timers.subscribe("limits", _STALE_CHECK, self._apply_limits)
         self.timers.start()
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -84,6 +84,7 @@
         self._lock = threading.Lock()
         self._by_id = {}
         self._parts = {}
+        self._listed = set()
         self.rate = _FIRST_RATE
         self.base = _FIRST_BASE
 
@@ -98,6 +99,7 @@
         """Drop what is known of an instance that is gone."""
         with self._lock:
             self._by_id.pop(instance_id, None)
+            self._listed.discard(instance_id)
             for holders in self._parts.values():
                 holders.pop(instance_id, None)
 
@@ -106,6 +108,16 @@
         at = self._parts.get(get_digest(part_id), {}).get(instance_id)
         return at is not None and now - at < _CACHE_LIFETIME
 
+    def is_listed(self, instance_id):
+        """Return whether it is known what the instance held at some time."""
+        return instance_id in self._listed
+
+    def note_listed(self, instance_id, digests, now):
+        """Note which parts the instance says that it holds."""
+        for digest in digests:
+            self.note_digest(digest, instance_id, now)
+        self._listed.add(instance_id)
+
     def note_parts(self, parts, instance_id, now):
         """Note that the instance reads these parts."""
         for part in parts:
@@ -122,7 +134,12 @@
         """Return seconds until a request with ``tokens`` to read gives an event."""
         load = self.get(instance_id, now)
         ahead = load.unread + load.remote_unread
-        return self.base + load.slowness * (ahead + tokens) / self.rate
+        return self.estimate_alone(instance_id, ahead + tokens, now)
+
+    def estimate_alone(self, instance_id, tokens, now):
+        """Return the same for an instance that has nothing else to read."""
+        load = self.get(instance_id, now)
+        return self.base + load.slowness * tokens / self.rate
 
     def start(self, instance_id, tokens, now):
         """Note a request sent; return its `Work`."""
@@ -248,7 +265,7 @@
 
 
 class Reads:
-    """Prompt parts read away from their home, for the peers to know."""
+    """Prompt parts that an instance reads for the first time, for the peers."""
 
     def __init__(self):
         self._rows = collections.deque(maxlen=_MAX_READS)
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement.py
@@ -4,16 +4,22 @@
 
 import xxhash
 
-_REREAD_WEIGHT = 1.0
+_REREAD_WEIGHT = 2.0
+_RANK_WAIT = 0.005
 _REMOTE_ZONE_WAIT = 0.002
 
 
 class Choice(NamedTuple):
-    """An instance chosen, the tokens it has to read, the wait expected."""
+    """An instance chosen, and what is expected there.
+
+    ``tokens`` are those it has to read; ``wait`` is the time to the first
+    event and ``alone`` what that would be with nothing ahead, in seconds.
+    """
 
     instance: object
     tokens: int
     wait: float
+    alone: float
     reason: str
 
 
@@ -29,10 +35,10 @@
 def choose_engine(prompt, instances, loads, now):
     """Return the `Choice` with the least wait and reading, or None.
 
-    A shared part is taken as read at the instance that rendezvous hashing
-    names, since all gateways send it there, and wherever this gateway or a
-    peer has sent it lately. Reading it anew costs capacity that others
-    wait for, so it weighs more than the time it takes.
+    A shared part is taken as read where the instance, this gateway or a peer
+    has said so, and where nothing is known yet at the instance that rendezvous
+    hashing names, since all gateways prefer that one. Reading it anew costs
+    capacity that others wait for, so it weighs more than the time it takes.
     """
     best = None
     for rank, instance in enumerate(rank_instances(prompt.home, instances)):
@@ -40,10 +46,11 @@
         wait = loads.estimate_wait(instance.id, uncached, now)
         own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
         reread = max(0, uncached - own)
-        score = wait + _REREAD_WEIGHT * reread / loads.rate
+        score = wait + _REREAD_WEIGHT * reread / loads.rate + _RANK_WAIT * rank
         if best is None or score < best[0]:
             reason = "home" if rank == 0 else "spill"
-            best = (score, Choice(instance, uncached, wait, reason))
+            alone = loads.estimate_alone(instance.id, uncached, now)
+            best = (score, Choice(instance, uncached, wait, alone, reason))
     return best[1] if best else None
 
 
@@ -51,9 +58,10 @@
     """Return the prompt tokens that the instance probably has to read."""
     if not prompt.parts:
         return prompt.tokens
+    assumed = is_home and not loads.is_listed(instance.id)
     left = prompt.tokens
     for part in prompt.parts[:-1]:
-        if not is_home and not loads.is_cached(part.id, instance.id, now):
+        if not assumed and not loads.is_cached(part.id, instance.id, now):
             break
         left -= part.tokens
     return max(1, left)
@@ -75,4 +83,4 @@
             best = (score, instance)
     if best is None:
         return None
-    return Choice(best[1], 0, 0.0, "least loaded")
+    return Choice(best[1], 0, 0.0, 0.0, "least loaded")
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -20,8 +20,8 @@
     its view is. ``loads`` maps an instance's digest to the prompt
     tokens sent there and not read, and the requests running. ``usage`` maps
     an account's digest to the tokens asked and begun since the start.
-    ``reads`` lists (instance digest, part digest) of prompt parts read away
-    from their home. ``members`` are addresses of gateways heard from.
+    ``reads`` lists (instance digest, part digest) of prompt parts that an
+    instance reads for the first time. ``members`` are addresses of gateways heard from.
     """
 
     version: int
