--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -6,7 +6,10 @@
 from .usage import compute_level
 
 _REFRESH = 0.05
-_LEAST_FACTOR = 0.35
+_LEAST_FACTOR = 0.25
+_GREATEST_FACTOR = 1.4
+_STEEPNESS = 3.0
+_SMALL_PART = 0.5
 
 
 class Shares:
@@ -31,17 +34,19 @@
         self._usage.add(get_digest(account), cost, cost if begun else 0, now)
 
     def get_factor(self, account, tokens_per_second, now):
-        """Return which part of the wait limit the account may use, up to 1.
+        """Return by how much the account's wait limit differs, about 1.
 
-        An account beyond its share meets a lower limit, so that what is left
-        of the engines' queues goes to those below theirs.
+        An account beyond its share meets a lower limit at once, and one far
+        below it a higher one, so that what is left of the engines' queues
+        goes to those below their share.
         """
         with self._lock:
             self._refresh(tokens_per_second, now)
             amount = self._amounts.get(get_digest(account))
-            if amount is None or amount.begun <= self._level:
+            if self._level == float("inf"):
                 return 1.0
-            return max(_LEAST_FACTOR, self._level / amount.begun)
+            standing = amount.begun / self._level if amount else 0.0
+            return compute_factor(standing)
 
     def get_level(self):
         """Return the level in tokens a window, for the log."""
@@ -56,3 +61,13 @@
         capacity = max(begun, tokens_per_second * self._window)
         asked = [amount.asked for amount in self._amounts.values()]
         self._level = compute_level(asked, capacity)
+
+
+def compute_factor(standing):
+    """Return the factor of the wait limit for a part of the share used up."""
+    if standing > 1.0:
+        return max(_LEAST_FACTOR, 1.0 - _STEEPNESS * (standing - 1.0))
+    if standing <= _SMALL_PART:
+        return _GREATEST_FACTOR
+    below = (1.0 - standing) / (1.0 - _SMALL_PART)
+    return 1.0 + below * (_GREATEST_FACTOR - 1.0)
