--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -25,9 +25,26 @@
         return None
     left = job.deadline - now
     retry_after = max(_LEAST_RETRY, choice.wait - limit / 2)
-    return Refusal(
-        503, "engines-busy", retry_after=min(retry_after, left * _RETRY_PART)
-    )
+    retry_after = min(retry_after, left * _RETRY_PART)
+    inputs = describe(state, choice, limit, now)
+    return Refusal(503, "engines-busy", retry_after=retry_after, inputs=inputs)
+
+
+def describe(state, choice, limit, now):
+    """Return what decided, for the log; times in milliseconds."""
+    load = state.loads.get(choice.instance.id, now)
+    peers = state.members.get_live(now)
+    oldest = max((now - peer.heard for peer in peers), default=0.0)
+    return {
+        "upstream": choice.instance.id,
+        "expected_ms": round(choice.wait * 1000),
+        "limit_ms": round(limit * 1000),
+        "unread_own": load.unread,
+        "unread_peers": load.remote_unread,
+        "peers": len(peers),
+        "oldest_report_ms": round(oldest * 1000),
+        "share_level": state.shares.get_level(),
+    }
 
 
 def get_factor(state, job, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -417,6 +417,8 @@
         version=job.catalog.version if job.catalog else None,
         sends=job.sends,
         held_ms=_to_ms(state.clock() - job.arrived),
+        retry_after=refusal.retry_after,
+        **(refusal.inputs or {}),
     )
     if job.reply.started:
         job.reply.cut()
--- a/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
@@ -6,12 +6,17 @@
 
 
 class Refusal(NamedTuple):
-    """An answer of our own; ``retry_after`` in seconds, None to leave it out."""
+    """An answer of our own.
+
+    ``retry_after`` is in seconds, None to leave it out; ``inputs`` are what
+    decided, for the log.
+    """
 
     status: int
     code: str
     outcome: Outcome = Outcome.NOT_RUN
     retry_after: float | None = None
+    inputs: dict | None = None
 
 
 def send_refusal(reply, refusal, request_id, id_header):
--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -49,8 +49,8 @@
             return compute_factor(standing)
 
     def get_level(self):
-        """Return the level in tokens a window, for the log."""
-        return self._level
+        """Return the level in tokens a window, None where all have what they ask."""
+        return None if self._level == float("inf") else round(self._level)
 
     def _refresh(self, tokens_per_second, now):
         if now - self._at < _REFRESH:
