--- a/packages/valeweir_gateway/src/valeweir_gateway/placement.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement.py
@@ -4,7 +4,7 @@
 
 import xxhash
 
-_REREAD_WEIGHT = 2.0
+_REREAD_WEIGHT = 3.5
 _RANK_WAIT = 0.005
 _REMOTE_ZONE_WAIT = 0.002
 
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -0,0 +1,150 @@
+import unittest
+from types import SimpleNamespace
+
+from valeweir.exceptions import PlatformUnavailable
+from valeweir_gateway.admission import decide
+from valeweir_gateway.caches import CacheScout
+from valeweir_gateway.catalog import (
+    Account,
+    Catalog,
+    Engine,
+    Limits,
+    Route,
+    RouteKind,
+    Service,
+    Target,
+)
+from valeweir_gateway.directory import Directory, Instance
+from valeweir_gateway.loads import Loads
+from valeweir_gateway.members import Members
+from valeweir_gateway.placement import Choice
+from valeweir_gateway.reports import get_digest
+from valeweir_gateway.settings import Sharing
+from valeweir_gateway.shares import Shares
+from valeweir_gateway.usage import UsageWindow
+
+NOW = 50.0
+ENGINE = Instance("i0", "llm", "127.0.0.1:1", "a", 64, True)
+PLAIN = Instance("p0", "api", "127.0.0.1:2", "a", 6, True)
+ROUTE = Route("r", "h", "/", RouteKind.STREAM, 10.0, 1.0, 1, (Target("llm", 1.0),), 1)
+
+
+class RecordingLog:
+    def __init__(self):
+        self.events = []
+
+    def note(self, event, failed=False, **fields):
+        self.events.append(event)
+
+
+def make_state():
+    catalog = Catalog(
+        1,
+        [ROUTE],
+        [Service("llm", 8, Engine(64, 1_000)), Service("api", 8, None)],
+        [Account("one", ("k",), None)],
+        Limits(),
+    )
+    return SimpleNamespace(
+        catalog=catalog,
+        directory=Directory(),
+        loads=Loads(),
+        members=Members("a", "127.0.0.1:9"),
+        shares=Shares(UsageWindow(4.0), Sharing()),
+        log=RecordingLog(),
+        clock=lambda: NOW,
+    )
+
+
+class TestDecide(unittest.TestCase):
+    def setUp(self):
+        self.state = make_state()
+
+    def decide(self, wait, alone=0.1, allowed=10.0, account="one"):
+        catalog = self.state.catalog
+        job = SimpleNamespace(
+            route=ROUTE,
+            catalog=catalog,
+            account=catalog.accounts[account] if account else None,
+            allowed=allowed,
+            deadline=NOW + allowed,
+        )
+        choice = Choice(ENGINE, 100, wait, alone, "home")
+        return decide(self.state, job, choice, NOW)
+
+    def test_well_within_the_goal(self):
+        self.assertIsNone(self.decide(0.6))
+        self.assertIsNone(self.decide(0.6, account=None))
+
+    def test_near_the_goal_it_is_refused_at_once_with_a_time(self):
+        refusal = self.decide(0.9)
+        self.assertEqual((refusal.status, refusal.code), (503, "engines-busy"))
+        self.assertGreater(refusal.retry_after, 0.0)
+        self.assertEqual(refusal.inputs["expected_ms"], 900)
+
+    def test_time_to_come_back_leaves_time_to_be_served(self):
+        refusal = self.decide(5.0, allowed=1.5)
+        self.assertLessEqual(refusal.retry_after, 0.5)
+
+    def test_prompt_too_long_for_its_goal(self):
+        self.assertIsNone(self.decide(2.1, alone=2.0))
+        self.assertIsNotNone(self.decide(2.5, alone=2.0))
+
+    def fill(self):
+        for account, begun in (("one", True), ("two", False)):
+            for _ in range(20):
+                self.state.shares.note(account, 1_000, begun, NOW)
+
+    def test_account_beyond_its_share_meets_a_lower_limit(self):
+        self.fill()
+        self.assertIsNotNone(self.decide(0.4))
+
+    def test_refused_once_it_is_preferred(self):
+        self.fill()
+        self.assertIsNone(self.decide(0.4, allowed=8.0))
+
+
+class TestCacheScout(unittest.TestCase):
+    def setUp(self):
+        self.state = make_state()
+        self.state.directory.put(ENGINE)
+        self.state.directory.put(PLAIN)
+        self.asked = []
+        self.fails = False
+        self.scout = CacheScout(self.state, self.list_parts)
+
+    def list_parts(self, address):
+        self.asked.append(address)
+        if self.fails:
+            raise PlatformUnavailable("down")
+        return ["aa", "bb"]
+
+    def test_engines_only_and_once(self):
+        self.scout.find_new()
+        self.scout.find_new()
+        self.assertEqual(self.scout._queue.qsize(), 1)
+        self.assertEqual(self.scout._queue.get(), ENGINE)
+
+    def test_what_an_engine_holds(self):
+        self.assertTrue(self.scout.ask(ENGINE))
+        loads = self.state.loads
+        self.assertTrue(loads.is_listed("i0"))
+        self.assertTrue(loads.is_cached("aa", "i0", NOW))
+        self.assertFalse(loads.is_cached("cc", "i0", NOW))
+
+    def test_engine_that_does_not_answer_is_no_empty_one(self):
+        self.fails = True
+        self.assertFalse(self.scout.ask(ENGINE))
+        self.assertFalse(self.state.loads.is_listed("i0"))
+
+    def test_new_instance_at_the_same_address(self):
+        self.scout.find_new()
+        self.state.directory.remove("i0")
+        self.state.directory.put(ENGINE._replace(id="i1"))
+        self.scout.find_new()
+        self.assertEqual(self.scout._queue.qsize(), 2)
+
+    def test_digests_are_those_of_the_reports(self):
+        self.scout.ask(ENGINE)
+        self.state.loads.note_digest(get_digest("cc"), "i0", NOW)
+        self.assertTrue(self.state.loads.is_cached("cc", "i0", NOW))
--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/entering.py
@@ -0,0 +1,130 @@
+"""Taking a caller's request in: account, limits, pool, ticket."""
+
+from valeweir.models import OUTCOME_HEADER, REQUEST_ID_HEADER, Outcome, Refusal
+from valeweir_callers.demands import get_bearer, parse_demand
+from valeweir_sharing.limits import find_excess, get_retry_after
+
+from .states import Ticket
+
+_SAFE_METHODS = frozenset(("GET", "HEAD", "OPTIONS"))
+
+
+class Served:
+    """What a session needs to know of one request."""
+
+    __slots__ = ("demand", "repeatable", "reply", "request", "ticket")
+
+    def __init__(self, request, reply, demand, ticket, repeatable):
+        self.request = request
+        self.reply = reply
+        self.demand = demand
+        self.ticket = ticket
+        self.repeatable = repeatable
+
+
+def admit(state, request, reply, request_id):
+    """Return a `Served` that counts as in flight, a `Refusal`, or None if done."""
+    with state.lock:
+        account = state.accounts_by_hash.get(get_bearer(request.headers))
+        ready = state.config_known
+    if not ready:
+        return _refuse_unready()
+    if account is None:
+        return Refusal(
+            401,
+            "unknown-account",
+            "the bearer key belongs to no client account",
+            "send Authorization: Bearer KEY",
+        )
+    if request.path == "/v1/models" and request.method == "GET":
+        _send_models(state, reply, request_id)
+        return None
+    demand = parse_demand(request, state.cfg["callers"]["default_deadline"])
+    if isinstance(demand, Refusal):
+        return demand
+    with state.lock:
+        return _enter(state, request, reply, request_id, account, demand)
+
+
+def _enter(state, request, reply, request_id, account, demand):
+    pool = _find_pool(state, demand)
+    if isinstance(pool, Refusal):
+        return pool
+    if state.refusing:
+        return _refuse_unready()
+    part = state.get_part(account)
+    size = len(request.body)
+    excess = find_excess(
+        state.limits, state.occupancy, account, part, demand.work_class, size
+    )
+    if excess is not None:
+        waiting = state.occupancy.get(account)[0]
+        return Refusal(
+            429,
+            excess,
+            f"the limit {excess} is reached for {account}",
+            "come back after the time in Retry-After",
+            retry_after=get_retry_after(waiting, 1.0, state.rng),
+        )
+    now = state.clock()
+    ticket = Ticket(
+        request_id,
+        (pool, account),
+        demand.work_class,
+        now,
+        now + demand.deadline,
+        size,
+        demand.prefix,
+    )
+    state.inflight += 1
+    state.occupancy.add(account, size)
+    state.retries.earn(account)
+    repeatable = _is_repeatable(state, pool, demand, request.method)
+    return Served(request, reply, demand, ticket, repeatable)
+
+
+def _find_pool(state, demand):
+    """Return the pool's name, or a `Refusal` where nothing serves it."""
+    name = demand.pool
+    model = state.configuration.get("models", name) if demand.is_model else None
+    if model is not None:
+        name = model.spec["pool"]
+    names = state.pools.get(name, ())
+    kind = "engine" if demand.is_model else "service"
+    if not any(state.upstreams[n].kind == kind for n in names):
+        return Refusal(
+            404,
+            "unknown-pool",
+            f"there is no {kind} pool {demand.pool!r}",
+            "see /v1/models, or ask the operators",
+        )
+    return name
+
+
+def _is_repeatable(state, pool, demand, method):
+    if demand.is_model or method in _SAFE_METHODS:
+        return True
+    ups = [state.upstreams[name] for name in state.pools[pool]]
+    return all(method in up.repeatable for up in ups)
+
+
+def _refuse_unready():
+    return Refusal(
+        503,
+        "not-ready",
+        "this router takes no requests now",
+        "send the request to another router",
+        retry_after=1,
+    )
+
+
+def _send_models(state, reply, request_id):
+    with state.lock:
+        engines = {u.pool for u in state.upstreams.values() if u.kind == "engine"}
+        names = sorted(engines | set(state.configuration.resources["models"]))
+    rows = [{"id": name, "object": "model", "owned_by": "valeweir"} for name in names]
+    headers = [
+        (REQUEST_ID_HEADER, request_id),
+        (OUTCOME_HEADER, Outcome.COMPLETE.value),
+    ]
+    reply.send_json(200, {"object": "list", "data": rows}, headers)
--- /dev/null
+++ b/packages/valeweir_router/src/valeweir_router/exchanging.py
@@ -0,0 +1,171 @@
+"""One exchange with an upstream: the send, the answer passed on, its cost."""
+
+import time
+
+from loguru import logger
+from valeweir import metrics
+from valeweir.models import CLASS_PRIORITY, OUTCOME_HEADER, REQUEST_ID_HEADER, Outcome
+from valeweir_callers.demands import StreamMeter, get_unary_usage
+from valeweir_upstreams.exchanges import (
+    Call,
+    Failure,
+    Fault,
+    Head,
+    open_exchange,
+    prepare_headers,
+)
+
+from . import scheduler
+
+_SETTLE_EVERY = 32
+_MAX_ANSWER = 64 << 20
+_BUSY = frozenset((502, 503, 504))
+_BLAMELESS = (Fault.GONE, Fault.LATE, Fault.LAPSED)
+
+
+class Progress:
+    """Cost of a model call as its answer comes in."""
+
+    def __init__(self, state, served):
+        sharing = state.cfg["sharing"]
+        self._prompt_weight = sharing["prompt_weight"]
+        self._output_weight = sharing["output_weight"]
+        self._state = state
+        self._ticket = served.ticket
+        self._unsettled = 0
+        self.cost = 0.0
+
+    def note_events(self, count):
+        """Count streamed events, one token each until usage tells better."""
+        self.cost += count * self._output_weight
+        self._unsettled += count
+        if self._unsettled >= _SETTLE_EVERY:
+            self._unsettled = 0
+            with self._state.lock:
+                scheduler.note_progress(self._state, self._ticket, self.cost)
+
+    def note_usage(self, usage):
+        """Take the engine's own count of tokens."""
+        if usage is not None:
+            self.cost = (
+                usage.prompt_tokens * self._prompt_weight
+                + usage.completion_tokens * self._output_weight
+            )
+
+
+def exchange_once(state, connections, served, progress):
+    """Send the request and pass its answer on; return None or a `Failure`."""
+    ticket = served.ticket
+    if not _is_lease_valid(state, ticket):
+        return Failure(Fault.LAPSED, "the lease lapsed before sending")
+    address = ticket.placement.address
+    exchange = open_exchange(connections, address, fresh=not served.repeatable)
+    if isinstance(exchange, Failure):
+        return exchange
+    if not _is_lease_valid(state, ticket):
+        exchange.close()
+        return Failure(Fault.LAPSED, "the lease lapsed before sending")
+    call = _prepare_call(state, served)
+    failure = exchange.send(call) or exchange.wait(call, served.reply.is_gone)
+    if failure is not None:
+        return failure
+    head = exchange.read_head(call)
+    if isinstance(head, Failure):
+        return head
+    if head.status in _BUSY and served.repeatable:
+        exchange.close()
+        return Failure(Fault.AMBIGUOUS, f"upstream answered {head.status}")
+    if head.is_stream:
+        return _forward_stream(served, exchange, head, progress)
+    return _forward_whole(served, exchange, head, progress)
+
+
+def _forward_whole(served, exchange, head, progress):
+    body = exchange.read_whole(_MAX_ANSWER)
+    if isinstance(body, Failure):
+        return body
+    if served.demand.is_model:
+        progress.note_usage(get_unary_usage(body))
+    headers = _prepare_reply_headers(served, head)
+    headers.append((OUTCOME_HEADER, Outcome.COMPLETE.value))
+    try:
+        served.reply.send(head.status, headers, body)
+    except OSError:
+        # The caller left after its request was done; nothing to repeat.
+        served.reply.close()
+    return None
+
+
+def _forward_stream(served, exchange, head, progress):
+    """Pass events on as they come; until the first, a retry is possible."""
+    meter = StreamMeter()
+    reply = served.reply
+    for part in exchange.read_parts():
+        if isinstance(part, Failure):
+            return _break_stream(reply, part)
+        new = meter.feed(part)
+        try:
+            if not reply.started:
+                reply.start_stream(head.status, _prepare_reply_headers(served, head))
+            reply.write(part)
+        except OSError:
+            exchange.close()
+            return Failure(Fault.GONE, "caller hung up")
+        progress.note_events(new)
+    if not meter.ended:
+        return _break_stream(reply, Failure(Fault.CUT, "stream without end mark"))
+    progress.note_usage(meter.usage)
+    return None
+
+
+def _break_stream(reply, failure):
+    if reply.started:
+        reply.cut()
+    return failure
+
+
+def _is_lease_valid(state, ticket):
+    with state.lock:
+        return state.holder.is_valid(ticket.placement.upstream, state.clock())
+
+
+def _prepare_call(state, served):
+    ticket = served.ticket
+    request = served.request
+    priority = CLASS_PRIORITY[ticket.work_class]
+    left = max(0.05, ticket.deadline - state.clock())
+    return Call(
+        ticket.id,
+        request.method,
+        served.demand.target,
+        prepare_headers(request.headers, ticket.id, priority),
+        request.body,
+        time.monotonic() + left,
+    )
+
+
+def _prepare_reply_headers(served, head: Head):
+    own = (REQUEST_ID_HEADER.lower(), OUTCOME_HEADER.lower(), "server", "date")
+    headers = [(n, v) for n, v in head.headers if n.lower() not in own]
+    headers.append((REQUEST_ID_HEADER, served.ticket.id))
+    return headers
+
+
+def note_health(state, upstream, failure, served):
+    """Take in what an exchange tells about its upstream."""
+    if failure is None:
+        if state.health.note_success(upstream):
+            metrics.ejected.labels(upstream).set(0)
+            logger.bind(upstream=upstream).info("upstream back")
+        if served.ticket.prefix:
+            state.hints.note(served.ticket.prefix, upstream, state.clock())
+        return
+    if failure.fault in _BLAMELESS:
+        state.health.note_released(upstream)
+        return
+    pause = state.health.note_error(upstream, state.clock())
+    if pause is not None:
+        metrics.ejected.labels(upstream).set(1)
+        logger.bind(upstream=upstream, pause=round(pause, 2), why=failure.text).warning(
+            "upstream set aside"
+        )
--- a/packages/valeweir_router/src/valeweir_router/gossip.py
+++ b/packages/valeweir_router/src/valeweir_router/gossip.py
@@ -27,7 +27,7 @@
 from valeweir_fleet.peers import Member
 from valeweir_sharing.accounts import Key, Report
 
-from . import claims, dispatching, holding, owning, pasts
+from . import claims, dispatching, histories, holding, owning
 
 _WHOLE_EVERY = 20
 
@@ -48,7 +48,7 @@
     owning.plan_idle(state)
     state.ledger.clear_pending("predicted")
     claims.learn(state)
-    pasts.retire_silent(state)
+    histories.retire_silent(state)
     send_digests(state)
 
 
@@ -57,7 +57,7 @@
     changes = state.peers.get_changes(state.clock())
     for change in changes:
         state.ledger.set_live(change.peer.source, change.live)
-        pasts.note_liveness(state, change.peer.source, change.live)
+        histories.note_liveness(state, change.peer.source, change.live)
         logger.bind(peer=change.peer.source, live=change.live).info("peer changed")
     for peer in state.peers.replaced:
         state.ledger.retire(peer.source, state.clock())
@@ -189,14 +189,14 @@
 
 def _handle_history_query(state, peer, _query):
     if state.history_known:
-        _send(state, peer, History, **pasts.encode_history(state))
+        _send(state, peer, History, **histories.encode_history(state))
 
 
 def _handle_history(state, peer, message):
     if state.history_known:
         return
     state.history_known = True
-    history = pasts.decode_history(state, message)
+    history = histories.decode_history(state, message)
     state.ledger.adopt_history(history, state.clock())
     logger.bind(peer=peer.source).info("history adopted")
 
