--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -17,7 +17,8 @@
     route's goal, since half of the waits turn out longer than expected, and
     earlier still where its account has had more than its share.
     """
-    allowed = job.route.goal * get_factor(state, job, now)
+    goal = state.goals.note(job.service, job.route.goal, now)
+    allowed = goal * get_factor(state, job, now)
     # A prompt too long for its goal gains nothing by coming back; it goes out
     # where little is ahead of it.
     limit = max(_GOAL_PART * allowed, choice.alone + _AHEAD_PART * allowed)
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -6,6 +6,7 @@
 
 from .connections import Connections
 from .directory import Directory
+from .goals import RecentGoals
 from .headers import HeaderNames
 from .loads import Loads, Reads
 from .members import Members
@@ -39,6 +40,7 @@
         self.bad_records = 0
         self.loads = Loads()
         self.reads = Reads()
+        self.goals = RecentGoals()
         self.members = Members(cfg.host, cfg.listen.reports)
         self.usage = UsageWindow(cfg.sharing.window)
         self.shares = Shares(self.usage, cfg.sharing)
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -15,6 +15,7 @@
     Target,
 )
 from valeweir_gateway.directory import Directory, Instance
+from valeweir_gateway.goals import RecentGoals
 from valeweir_gateway.loads import Loads
 from valeweir_gateway.members import Members
 from valeweir_gateway.placement import Choice
@@ -49,6 +50,7 @@
         catalog=catalog,
         directory=Directory(),
         loads=Loads(),
+        goals=RecentGoals(),
         members=Members("a", "127.0.0.1:9"),
         shares=Shares(UsageWindow(4.0), Sharing()),
         log=RecordingLog(),
@@ -65,6 +67,7 @@
         job = SimpleNamespace(
             route=ROUTE,
             catalog=catalog,
+            service="llm",
             account=catalog.accounts[account] if account else None,
             allowed=allowed,
             deadline=NOW + allowed,
@@ -90,6 +93,12 @@
         self.assertIsNone(self.decide(2.1, alone=2.0))
         self.assertIsNotNone(self.decide(2.5, alone=2.0))
 
+    def test_patient_route_leaves_room_for_a_brief_one(self):
+        self.state.goals.note("llm", 0.4, NOW - 1.0)
+        self.assertIsNotNone(self.decide(0.6))
+        self.state.goals.note("llm", 0.4, NOW - 90.0)
+        self.assertIsNone(self.decide(0.2))
+
     def fill(self):
         for account, begun in (("one", True), ("two", False)):
             for _ in range(20):
@@ -104,6 +113,19 @@
         self.assertIsNone(self.decide(0.4, allowed=8.0))
 
 
+class TestRecentGoals(unittest.TestCase):
+    def test_goals_out_of_use_do_not_count(self):
+        goals = RecentGoals()
+        goals.note("s", 0.1, 0.0)
+        self.assertEqual(goals.note("s", 0.8, 1.0), 0.1)
+        self.assertEqual(goals.note("s", 0.8, 9.0), 0.8)
+
+    def test_services_apart(self):
+        goals = RecentGoals()
+        goals.note("s", 0.1, 0.0)
+        self.assertEqual(goals.note("t", 0.8, 0.0), 0.8)
+
+
 class TestCacheScout(unittest.TestCase):
     def setUp(self):
         self.state = make_state()
