--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -138,6 +138,7 @@
         report = Report(
             VERSION,
             state.cfg.host,
+            state.cfg.domain,
             self._number,
             self._seq,
             catalog.version if catalog else 0,
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -105,6 +105,9 @@
         if row.id not in job.excluded and state.loads.is_usable(row.id, now)
     ]
     usable = [r for r in usable if not state.loads.is_silent(r.id, now)] or usable
+    cut = state.domains.get_cut(state.members.get_silent_domains(now), now)
+    if cut:
+        usable = [row for row in usable if row.zone not in cut] or usable
     if not usable:
         # Instances that were set aside may still be better than none.
         usable = [row for row in ready if row.id not in job.excluded]
--- a/packages/valeweir_gateway/src/valeweir_gateway/members.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/members.py
@@ -4,6 +4,7 @@
 
 _SILENT_AFTER = 1.5
 _FORGET_AFTER = 30.0
+_DOMAIN_SILENCE = 1.1
 
 
 class Peer:
@@ -71,6 +72,16 @@
         peers = list(self.peers.values())
         return [peer for peer in peers if now - peer.heard < _SILENT_AFTER]
 
+    def get_silent_domains(self, now):
+        """Return the domains with gateways known and none heard from lately."""
+        known = set()
+        heard = set()
+        for peer in list(self.peers.values()):
+            known.add(peer.report.domain)
+            if now - peer.heard < _DOMAIN_SILENCE:
+                heard.add(peer.report.domain)
+        return known - heard
+
     def is_live(self, address, now):
         """Return whether a gateway at this address was heard from lately."""
         return any(peer.address == address for peer in self.get_live(now))
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -35,6 +35,7 @@
     if work.first is not None and job.prompt is not None:
         state.metrics.first_seconds.observe(work.first)
         state.metrics.expected_seconds.observe(choice.wait)
+    state.domains.note_success(choice.instance.zone)
     if state.loads.note_success(choice.instance.id, now):
         state.log.note("upstream back", upstream=choice.instance.id)
     state.log.note(
@@ -69,6 +70,8 @@
     else:
         severe = failure.fault is Fault.NOT_SENT
         pause = state.loads.note_error(instance_id, now, severe)
+        if failure.status == 0:
+            state.domains.note_failure(choice.instance.zone, now)
     state.log.note(
         "send failed",
         failed=True,
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -26,6 +26,7 @@
 
     version: int
     host: str
+    domain: str
     number: int
     seq: int
     catalog_version: int
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -6,6 +6,7 @@
 
 from .connections import Connections
 from .directory import Directory
+from .domains import Domains
 from .goals import RecentGoals
 from .headers import HeaderNames
 from .loads import Loads, Reads
@@ -41,6 +42,7 @@
         self.loads = Loads()
         self.reads = Reads()
         self.goals = RecentGoals()
+        self.domains = Domains(cfg.domain)
         self.members = Members(cfg.host, cfg.listen.reports)
         self.usage = UsageWindow(cfg.sharing.window)
         self.shares = Shares(self.usage, cfg.sharing)
