--- a/packages/valeweir_router/src/valeweir_router/gossip.py
+++ b/packages/valeweir_router/src/valeweir_router/gossip.py
@@ -27,7 +27,7 @@
 from valeweir_fleet.peers import Member
 from valeweir_sharing.accounts import Key, Report
 
-from . import claims, dispatching, histories, holding, owning
+from . import claims, dispatching, granting, histories, holding, owning
 
 _WHOLE_EVERY = 20
 
@@ -42,10 +42,10 @@
     holding.give_idle(state)
     for pool in state.pools:
         state.ledger.clamp(pool, _get_clamp(state, pool))
-        owning.plan(state, pool)
+        granting.plan(state, pool)
         # An upstream may have come to the end of its pause.
         dispatching.dispatch(state, pool)
-    owning.plan_idle(state)
+    granting.plan_idle(state)
     state.ledger.clear_pending("predicted")
     claims.learn(state)
     histories.retire_silent(state)
@@ -143,7 +143,7 @@
     dispatching.merge_grants(state, peer.source, digest.grants)
     pools = owning.merge_claims(state, peer.source, digest.claims)
     for pool in pools | {pool.pool for pool in digest.pools}:
-        owning.plan(state, pool)
+        granting.plan(state, pool)
     _catch_up(state, peer, digest)
 
 
@@ -153,7 +153,7 @@
     waiting = {names[n]: count for n, count in ask.waiting.items() if n in names}
     state.ledger.merge_waiting(peer.source, ask.pool, waiting)
     owning.merge_claims(state, peer.source, ask.claims)
-    owning.plan(state, ask.pool)
+    granting.plan(state, ask.pool)
 
 
 def _handle_offer(state, peer, offer):
--- a/packages/valeweir_router/src/valeweir_router/holding.py
+++ b/packages/valeweir_router/src/valeweir_router/holding.py
@@ -8,7 +8,7 @@
 from valeweir_fleet.messages import Ask
 from valeweir_sharing.accounts import Key
 
-from . import owning
+from . import granting, owning
 
 ASK_GAP = 0.05
 _SILENT_INTERVALS = 2.2
@@ -21,7 +21,7 @@
     wait here: they count on it for the next free slot anyway.
     """
     now = state.clock()
-    owning.plan(state, pool)
+    granting.plan(state, pool)
     if state.told.get(pool, {}).get(account, 0) > 0:
         return
     if now - state.last_ask.get(pool, 0.0) < ASK_GAP:
@@ -74,7 +74,7 @@
     _predict_use(state, pool, given)
     if state.owners.get(upstream) == state.source:
         _claim_own(state, upstream)
-        owning.plan(state, pool)
+        granting.plan(state, pool)
         return
     send_ask(state, pool, owning.get_claim_targets(state, upstream), [upstream])
 
