--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -3,13 +3,12 @@
 from . import streams
 from .catalog import RouteKind
 from .checking import ANSWER_MARGIN
-from .connections import connect
+from .connections import LONGEST_IDLE, connect
 from .exchanges import Call, Exchange, Failure, Fault, Head, prepare_headers
 from .recording import note_failure, note_result
 from .repeating import MISDIRECTED
 
 _FRESH_WITHIN = 1.0
-_LONGEST_IDLE = 4.0
 _PROMISES = frozenset((408, 421, 429, 503))
 _SERVER_ERROR = 500
 
@@ -32,7 +31,7 @@
         state.names.request_id,
     )
     if job.sends == 0:
-        state.retries.note_request(job.service, now)
+        _note_begun(state, job, now)
     job.sends += 1
     work = state.loads.start(instance.id, choice.tokens, now)
     if job.prompt is not None:
@@ -46,6 +45,12 @@
     return failure
 
 
+def _note_begun(state, job, now):
+    state.retries.note_request(job.service, now)
+    if job.account is not None and job.prompt is not None:
+        state.shares.note_begun(job.account.name, job.prompt.cost, now)
+
+
 def _note_reads(state, job, choice, now):
     shared = job.prompt.parts[:-1]
     instance_id = choice.instance.id
@@ -58,7 +63,7 @@
 
 def _get_socket(state, job, instance):
     repeatable = job.route.repeatable
-    longest_idle = _LONGEST_IDLE if repeatable else _FRESH_WITHIN
+    longest_idle = LONGEST_IDLE if repeatable else _FRESH_WITHIN
     sock = state.connections.take(instance.id, longest_idle)
     if sock is not None:
         return sock
--- a/packages/valeweir_gateway/src/valeweir_gateway/connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/connections.py
@@ -14,7 +14,7 @@
 
 CONNECT_TIMEOUT = 0.4
 _KEPT_PER_INSTANCE = 8
-_LONGEST_IDLE = 4.0
+LONGEST_IDLE = 4.0
 
 
 class Idle:
@@ -36,7 +36,7 @@
         self._idle = {}
         self._lock = threading.Lock()
 
-    def take(self, instance_id, longest_idle=_LONGEST_IDLE):
+    def take(self, instance_id, longest_idle=LONGEST_IDLE):
         """Return a kept socket that looks alive, or None."""
         now = self._clock()
         while True:
@@ -53,7 +53,7 @@
     def keep(self, instance_id, sock, lifetime=None):
         """Keep a socket for ``lifetime`` seconds at most."""
         now = self._clock()
-        until = now + min(_LONGEST_IDLE, lifetime or _LONGEST_IDLE)
+        until = now + min(LONGEST_IDLE, lifetime or LONGEST_IDLE)
         with self._lock:
             rows = self._idle.setdefault(instance_id, [])
             if len(rows) < _KEPT_PER_INSTANCE:
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -73,6 +73,7 @@
 
 def _serve(state, job):
     """Send the request until it is answered; return a `Refusal` or None."""
+    _note_asked(state, job)
     connects = 0
     while True:
         now = state.clock()
@@ -119,12 +120,11 @@
     choice = choose_engine(job.prompt, usable, state.loads, now)
     if job.sends == 0:
         refusal = admission.decide(state, job, choice, now)
-        _note_usage(state, job, refusal is None, now)
         if refusal is not None:
             return refusal
     return choice
 
 
-def _note_usage(state, job, begun, now):
-    if job.account is not None:
-        state.shares.note(job.account.name, job.prompt.cost, begun, now)
+def _note_asked(state, job):
+    if job.account is not None and job.prompt is not None:
+        state.shares.note_asked(job.account.name, job.prompt.cost, job.arrived)
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -34,9 +34,7 @@
         "active",
         "errors",
         "heard",
-        "last_error",
         "pause",
-        "pending",
         "probing",
         "remote_active",
         "remote_unread",
@@ -50,10 +48,8 @@
         self.remote_unread = 0
         self.active = 0
         self.remote_active = 0
-        self.pending = 0
         self.heard = now
         self.errors = 0
-        self.last_error = 0.0
         self.pause = _FIRST_PAUSE
         self.until = 0.0
         self.probing = False
@@ -150,7 +146,6 @@
             ahead = load.unread + load.remote_unread
             load.unread += tokens
             load.active += 1
-            load.pending += 1
             if load.until and now >= load.until:
                 load.probing = True
             return Work(instance_id, tokens, ahead, now)
@@ -189,7 +184,6 @@
         """Note a failure; return the pause in seconds if it ejects, or None."""
         load = self.get(instance_id, now)
         load.errors += 1
-        load.last_error = now
         if load.errors < _ERRORS_TO_EJECT and not load.probing and not severe:
             return None
         if now < load.until:
@@ -247,7 +241,6 @@
     def _note_read(self, work, load):
         work.is_read = True
         load.unread = max(0, load.unread - work.tokens)
-        load.pending = max(0, load.pending - 1)
 
     def _learn(self, work, load, elapsed):
         total = work.ahead + work.tokens
--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -29,9 +29,13 @@
         self._level = float("inf")
         self._amounts = {}
 
-    def note(self, account, cost, begun, now):
-        """Count a request's tokens as asked, and as begun if it was sent."""
-        self._usage.add(get_digest(account), cost, cost if begun else 0, now)
+    def note_asked(self, account, cost, now):
+        """Count the tokens of a request that has come."""
+        self._usage.add(get_digest(account), cost, 0, now)
+
+    def note_begun(self, account, cost, now):
+        """Count the tokens of a request that an upstream was sent."""
+        self._usage.add(get_digest(account), 0, cost, now)
 
     def get_factor(self, account, tokens_per_second, now):
         """Return by how much the account's wait limit differs, about 1.
