--- a/packages/valeweir_gateway/src/valeweir_gateway/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/directory.py
@@ -2,6 +2,8 @@
 
 from typing import NamedTuple
 
+from .reports import get_digest
+
 
 class Instance(NamedTuple):
     """One run of an upstream; ``cold`` is how long it stays slow, in seconds."""
@@ -21,11 +23,13 @@
     def __init__(self):
         self.by_id = {}
         self._ready = {}
+        self._by_digest = {}
 
     def put(self, instance):
         """Add or replace an instance."""
         old = self.by_id.get(instance.id)
         self.by_id[instance.id] = instance
+        self._by_digest[get_digest(instance.id)] = instance.id
         self._index(instance.service)
         if old is not None and old.service != instance.service:
             self._index(old.service)
@@ -34,13 +38,22 @@
         """Forget an instance; return it, or None if it was not known."""
         old = self.by_id.pop(instance_id, None)
         if old is not None:
+            self._by_digest.pop(get_digest(instance_id), None)
             self._index(old.service)
         return old
 
+    def get_id(self, digest):
+        """Return the id of the instance that a digest stands for, or None."""
+        return self._by_digest.get(digest)
+
     def get_ready(self, service):
         """Return the instances of a service that take new requests."""
         return self._ready.get(service, ())
 
+    def get_all_ready(self):
+        """Return the instances of every service that take new requests."""
+        return [row for rows in list(self._ready.values()) for row in rows]
+
     def is_ready(self, instance_id):
         """Return whether the instance is known and takes new requests."""
         instance = self.by_id.get(instance_id)
--- a/packages/valeweir_gateway/src/valeweir_gateway/domains.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/domains.py
@@ -1,12 +1,18 @@
 """Failure domains that are probably cut off from this gateway.
 
 All gateways of a domain silent at once may mean that they are down, or that
-the domain is cut off. A failed send to an instance there tells the two apart,
-and one is enough: its other instances are then avoided while the silence lasts.
+the domain is cut off. A failed connection to an instance there tells the two
+apart, and one is enough: its other instances are then avoided while the silence
+lasts. A prober connects as soon as there is silence, so that no request has to
+find out.
 """
 
 import threading
 
+from .connections import connect
+
+PROBE_INTERVAL = 0.3
+_PROBE_TIMEOUT = 0.2
 _EVIDENCE_SECONDS = 3.0
 
 
@@ -40,3 +46,42 @@
                 for domain, at in self._failed.items()
                 if domain in silent and now - at < _EVIDENCE_SECONDS
             )
+
+
+class DomainProber:
+    """Connects to an instance of each domain that has fallen silent."""
+
+    def __init__(self, state, connect=connect):
+        self._state = state
+        self._connect = connect
+
+    def probe(self):
+        """Probe each silent domain once, and note what that says of it."""
+        state = self._state
+        silent = state.members.get_silent_domains(state.clock())
+        for domain in silent - {state.cfg.domain}:
+            instance = self._pick(domain)
+            if instance is not None:
+                self._note(domain, self._is_reachable(instance))
+
+    def _pick(self, domain):
+        rows = [row for row in self._state.directory.get_all_ready()]
+        rows = [row for row in rows if row.zone == domain]
+        return self._state.rng.choice(rows) if rows else None
+
+    def _is_reachable(self, instance):
+        try:
+            self._connect(instance.address, _PROBE_TIMEOUT).close()
+        except OSError:
+            return False
+        return True
+
+    def _note(self, domain, reachable):
+        state = self._state
+        known = domain in state.domains.get_cut({domain}, state.clock())
+        if reachable:
+            state.domains.note_success(domain)
+        else:
+            state.domains.note_failure(domain, state.clock())
+        if known == reachable:
+            state.log.note("domain probed", domain=domain, reachable=reachable)
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/duties.py
@@ -0,0 +1,57 @@
+"""Whether a gateway reads the store itself.
+
+Every call of the store has its price, and in a large fleet the first relay of
+each failure domain reads for all. The others read only while no gateway that
+they hear from has heard from the store lately.
+"""
+
+from .relays import MESH_LIMIT
+
+_LONGEST_AGE = 2.0
+_FLEET_POLL = 1.0
+
+
+class StoreDuty:
+    """Decides from the fleet's plan and from how old the peers' views are."""
+
+    def __init__(self, state, get_plan):
+        self._state = state
+        self._get_plan = get_plan
+        self._reads = True
+
+    def reads_store(self):
+        """Return whether this gateway reads the store now."""
+        reads = self._decide(self._state.clock())
+        if reads != self._reads:
+            self._reads = reads
+            self._state.log.note("store duty", reads=reads)
+        return reads
+
+    def get_poll(self):
+        """Return how long a call waits for a record, in seconds.
+
+        Those that others depend on have to notice a silent store soon.
+        """
+        poll = self._state.cfg.store.poll
+        if len(self._state.members) <= MESH_LIMIT:
+            return poll
+        return min(poll, _FLEET_POLL)
+
+    def _decide(self, now):
+        state = self._state
+        plan = self._get_plan()
+        if plan is None or len(state.members) <= MESH_LIMIT:
+            return True
+        if plan.is_relay and self._is_first(now):
+            return True
+        age = state.get_peers_store_age(now)
+        return age is None or age > _LONGEST_AGE
+
+    def _is_first(self, now):
+        members = self._state.members
+        for row in members.get_ranked(members.own.domain):
+            if row == members.own:
+                return True
+            if not members.is_suspect(row.host, now):
+                return False
+        return True
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -4,47 +4,59 @@
 newest counts, and a peer behind a cut must hold nobody up.
 """
 
+import collections
+import random
 import socket
 import threading
 import time
 
-import msgspec
-
-from .reports import (
-    MAX_BYTES,
-    VERSION,
-    Report,
-    decode_report,
-    encode_report,
-    get_digest,
-)
+from .members import Member
+from .relays import make_plan
+from .reports import VERSION, Report, Role, decode_report, encode_report, get_digest
+from .sums import Totals
 
 _TICK = 0.04
-_HEARTBEAT = 0.5
-_SILENT_INTERVAL = 1.0
-_USAGE_REFRESH = 2.0
+# Seconds of an interval for each link, so that a relay of many sends less often.
+_TICK_PER_LINK = 0.0025
+_HEARTBEAT = 0.25
+_COUNT_MEMORY = 30.0
+_ASK_INTERVAL = 1.0
 _RECEIVE_BYTES = 2_048
 _RECEIVE_TIMEOUT = 0.5
-_MAX_READS = 24
-_MAX_MEMBERS = 12
-_MAX_ACCOUNTS = 50
+_READS_A_REPORT = 24
+_MEMBERS_A_REPORT = 10
+_MAX_PENDING_READS = 400
+
+
+class Link:
+    """What one other gateway was told last, and the reads it is not told yet."""
+
+    __slots__ = ("member", "reads", "role", "sent", "sent_at")
+
+    def __init__(self, member, role):
+        self.member = member
+        self.role = role
+        self.sent = None
+        self.sent_at = 0.0
+        self.reads = collections.deque(maxlen=_MAX_PENDING_READS)
 
 
 class Fleet:
     """Sends this gateway's reports and takes in those of the others."""
 
-    def __init__(self, state, address):
+    def __init__(self, state, address, sock, number, seed=None):
         self._state = state
         self.address = address
-        self._sock = _open_socket(address)
-        self._number = time.time_ns() // 1_000_000
+        self._sock = sock
+        self._number = number
         self._seq = 0
-        self._sent_at = 0.0
-        self._sent_loads = None
-        self._sent_usage = {}
-        self._refreshed_at = 0.0
-        self._probed_at = 0.0
-        self._sent_stopping = False
+        self._rng = random.Random(seed)
+        self._links = {}
+        self._lock = threading.Lock()
+        self._asked_at = 0.0
+        self._corrected = {}
+        self._most = (1, 0.0)
+        self.plan = None
         self.sent_bytes = 0
 
     def start(self, stopped):
@@ -59,9 +71,10 @@
         self._sock.close()
 
     def _send_loop(self, stopped):
-        while not stopped.wait(_TICK):
-            self._send(self._state.clock())
-            self._apply_peers(self._state.clock())
+        interval = _TICK
+        while not stopped.wait(interval):
+            self.tick(self._state.clock())
+            interval = max(_TICK, _TICK_PER_LINK * len(self._links))
 
     def _receive_loop(self, stopped):
         self._sock.settimeout(_RECEIVE_TIMEOUT)
@@ -70,129 +83,232 @@
                 data, sender = self._sock.recvfrom(_RECEIVE_BYTES)
             except OSError:
                 continue
-            self._receive(data, sender)
+            self.receive(data, sender)
 
-    def _receive(self, data, sender):
+    def receive(self, data, sender):
+        """Take in a datagram from ``sender``, an (IP, port) pair."""
         report = decode_report(data)
         if report is None:
             return
         state = self._state
         now = state.clock()
         address = f"{sender[0]}:{sender[1]}"
-        fresh = report.host not in state.members.peers
-        peer = state.members.note(report, address, now)
-        if peer is None:
+        fresh = not state.members.is_live(report.host, now)
+        if state.members.note(report, address, now) is None:
             return
-        for member in report.members:
-            state.members.add_address(member)
-        state.usage.merge(peer.source, report.usage, now)
+        for row in report.members:
+            state.members.add(Member(*row))
+        if report.role == Role.HELLO or self._is_misdirected(report, now):
+            answer = self._make(Role.ALIVE, now, with_members=True)
+            self._send_to(address, answer)
         self._take_reads(report, now)
         if fresh:
             state.log.note("peer heard", peer=report.host, address=address)
 
+    def _is_misdirected(self, report, now):
+        """Return whether a relay takes this gateway for one and should be told.
+
+        It knows too few members; those in the answer make up for it.
+        """
+        if report.role != Role.ACROSS or self.plan is None or self.plan.is_relay:
+            return False
+        if now - self._corrected.get(report.host, -_ASK_INTERVAL) < _ASK_INTERVAL:
+            return False
+        self._corrected[report.host] = now
+        return True
+
     def _take_reads(self, report, now):
-        if not report.reads:
-            return
-        ids = {get_digest(name): name for name in list(self._state.directory.by_id)}
+        state = self._state
         for instance, part in report.reads:
-            instance_id = ids.get(instance)
+            instance_id = state.directory.get_id(instance)
             if instance_id is not None:
-                self._state.loads.note_digest(part, instance_id, now)
-
-    def _send(self, now):
-        loads = self._get_loads()
-        silent = now - self._probed_at >= _SILENT_INTERVAL
-        due = now - self._sent_at >= _HEARTBEAT
-        news = loads != self._sent_loads or self._state.reads.has_news()
-        news = news or self._state.stopping != self._sent_stopping
-        if not (news or due):
+                state.loads.note_digest(part, instance_id, now)
+        self._forward_reads(report)
+
+    def _forward_reads(self, report):
+        targets = {Role.UP: (Role.ACROSS, Role.DOWN), Role.ACROSS: (Role.DOWN,)}
+        roles = targets.get(report.role, ())
+        if not report.reads or not roles:
             return
-        data = encode_report(self._make_report(loads, now, silent))
-        self._sent_at = now
-        self._sent_loads = loads
-        self._sent_stopping = self._state.stopping
-        if silent:
-            self._probed_at = now
-        for address in self._state.members.get_addresses():
-            if silent or self._state.members.is_live(address, now):
-                self._send_to(address, data)
-
-    def _send_to(self, address, data):
-        host, _, port = address.rpartition(":")
-        try:
-            self._sock.sendto(data, (host, int(port)))
-            self.sent_bytes += len(data)
-        except OSError:
-            # Soft state: the next report will do.
-            pass
+        with self._lock:
+            for host, link in self._links.items():
+                if link.role in roles and host != report.host:
+                    link.reads.extend(report.reads)
+
+    def tick(self, now):
+        """Send what is due and take in the sums of what was reported."""
+        state = self._state
+        for peer in state.members.drop_silent(now):
+            self._corrected.pop(peer.host, None)
+            state.log.note("peer lost", failed=True, peer=peer.host)
+        plan = make_plan(state.members, now)
+        self._note_plan(plan)
+        own = self._make_own(now)
+        children = self._get_reports(plan.group, Role.UP, now)
+        group = own.copy()
+        for report in children.values():
+            group.add_report(report)
+        everything = group.copy()
+        for report in self._get_sources(plan, now):
+            everything.add_report(report)
+        self._apply(everything, own, now)
+        self._update_links(plan)
+        for link in list(self._links.values()):
+            self._serve(link, own, group, everything, children, now)
+        if now - self._asked_at >= _ASK_INTERVAL:
+            self._asked_at = now
+            self._ask(plan, now)
+
+    def _note_plan(self, plan):
+        old, self.plan = self.plan, plan
+        relay = plan.relay.host if plan.relay else None
+        if old is None or (old.is_relay, old.relay) != (plan.is_relay, plan.relay):
+            self._state.log.note(
+                "reporting", is_relay=plan.is_relay, relay=relay, group=len(plan.group)
+            )
+
+    def _make_own(self, now):
+        state = self._state
+        loads = state.loads.get_report()
+        own = Totals()
+        own.add(
+            {get_digest(name): row for name, row in loads.items()},
+            state.usage.get_amounts(now),
+            1,
+        )
+        return own
 
-    def _get_loads(self):
-        report = self._state.loads.get_report()
-        return {get_digest(name): row for name, row in report.items()}
+    def _get_reports(self, members, role, now):
+        """Return {host: Report} of the live ones among ``members`` in a role."""
+        found = {}
+        for member in members:
+            peer = self._state.members.peers.get(member.host)
+            live = self._state.members.is_live(member.host, now)
+            if peer is not None and live and peer.report.role == role:
+                found[member.host] = peer.report
+        return found
 
-    def _make_report(self, loads, now, with_members):
+    def _get_sources(self, plan, now):
+        if plan.is_relay:
+            return self._get_reports(plan.fellows, Role.ACROSS, now).values()
+        if plan.relay is None:
+            return ()
+        return self._get_reports([plan.relay], Role.DOWN, now).values()
+
+    def _apply(self, everything, own, now):
+        state = self._state
+        remote = everything.without(own)
+        state.retries.gateways = self._count_gateways(everything.gateways, now)
+        state.shares.set_remote(remote.usage)
+        loads = {}
+        for digest, row in remote.loads.items():
+            instance_id = state.directory.get_id(digest)
+            if instance_id is not None:
+                loads[instance_id] = row
+        state.loads.set_remote(loads, now)
+
+    def _count_gateways(self, count, now):
+        """Return the greatest count of late.
+
+        Those behind a cut go on spending their part of the retry budget.
+        """
+        if count >= self._most[0] or now - self._most[1] > _COUNT_MEMORY:
+            self._most = (count, now)
+        return self._most[0]
+
+    def _update_links(self, plan):
+        wanted = {row.host: (row, Role.DOWN) for row in plan.group}
+        wanted.update({row.host: (row, Role.ACROSS) for row in plan.fellows})
+        if plan.relay is not None:
+            wanted[plan.relay.host] = (plan.relay, Role.UP)
+        with self._lock:
+            for host in self._links.keys() - wanted.keys():
+                del self._links[host]
+            for host, (member, role) in wanted.items():
+                link = self._links.get(host)
+                if link is None or link.role != role:
+                    link = self._links[host] = Link(member, role)
+                link.member = member
+            reads = self._state.reads.take()
+            for link in self._links.values():
+                link.reads.extend(reads)
+
+    def _serve(self, link, own, group, everything, children, now):
+        members = self._state.members
+        if members.is_suspect(link.member.host, now):
+            return
+        totals = {Role.UP: own, Role.ACROSS: group, Role.DOWN: everything}[link.role]
+        child = children.get(link.member.host)
+        if link.role == Role.DOWN and child is not None:
+            totals = everything.without(child)
+        told = (totals.loads, totals.usage, self._state.stopping)
+        due = now - link.sent_at >= _HEARTBEAT
+        if not due and not link.reads and told == link.sent:
+            return
+        link.sent, link.sent_at = told, now
+        reads = [link.reads.popleft() for _ in range(self._count_reads(link))]
+        report = self._make(link.role, now, totals, reads, with_members=due)
+        members.note_tried(link.member.host, now)
+        self._send_to(link.member.address, report)
+
+    def _count_reads(self, link):
+        return min(len(link.reads), _READS_A_REPORT)
+
+    def _ask(self, plan, now):
+        """Ask members that are not heard, and addresses, for a sign of life."""
+        members = self._state.members
+        report = self._make(Role.HELLO, now, with_members=True)
+        for member in plan.watched:
+            members.note_tried(member.host, now)
+            self._send_to(member.address, report)
+        for link in list(self._links.values()):
+            if members.is_suspect(link.member.host, now):
+                self._send_to(link.member.address, report)
+        for address in members.get_unnamed():
+            self._send_to(address, report)
+
+    def _make(self, role, now, totals=None, reads=(), with_members=False):
         state = self._state
         self._seq += 1
-        catalog = state.catalog
-        members = state.members.get_addresses()[:_MAX_MEMBERS] if with_members else []
-        report = Report(
+        return Report(
             VERSION,
             state.cfg.host,
             state.cfg.domain,
             self._number,
             self._seq,
-            catalog.version if catalog else 0,
+            role,
+            state.catalog.version if state.catalog else 0,
             state.directory_offset,
+            state.get_store_age(now),
             state.stopping,
-            loads,
-            self._get_usage(now),
-            state.reads.take(_MAX_READS),
-            members,
+            totals.gateways if totals else 0,
+            totals.loads if totals else {},
+            totals.usage if totals else {},
+            list(reads),
+            sorted(state.members.get_silent_domains(now)),
+            self._pick_members(now) if with_members else [],
         )
-        if len(encode_report(report)) > MAX_BYTES:
-            report = msgspec.structs.replace(report, reads=[], members=[])
-        return report
-
-    def _get_usage(self, now):
-        if now - self._refreshed_at >= _USAGE_REFRESH:
-            self._refreshed_at = now
-            self._sent_usage = {}
-        totals = self._state.usage.get_totals()
-        changed = {
-            name: row
-            for name, row in totals.items()
-            if self._sent_usage.get(name) != row
-        }
-        rows = dict(list(changed.items())[:_MAX_ACCOUNTS])
-        self._sent_usage.update(rows)
-        return rows
-
-    def _apply_peers(self, now):
-        state = self._state
-        for peer in state.members.drop_silent(now):
-            state.usage.forget(peer.source)
-            state.log.note("peer lost", failed=True, peer=peer.report.host)
-        live = state.members.get_live(now)
-        state.retries.gateways = 1 + len(state.members.peers)
-        state.loads.set_remote(_sum_loads(live, state.directory.by_id), now)
-
-
-def _sum_loads(peers, instances):
-    """Return {instance id: (unread, active)} over the peers' reports."""
-    ids = {get_digest(name): name for name in list(instances)}
-    totals = {}
-    for peer in peers:
-        for digest, (unread, active) in peer.report.loads.items():
-            name = ids.get(digest)
-            if name is None:
-                continue
-            old_unread, old_active = totals.get(name, (0, 0))
-            totals[name] = (old_unread + unread, old_active + active)
-    return totals
+
+    def _pick_members(self, now):
+        members = self._state.members
+        live = [members.get(peer.host) for peer in members.get_live(now)]
+        picked = self._rng.sample(live, min(len(live), _MEMBERS_A_REPORT))
+        return [tuple(member) for member in [members.own, *picked]]
+
+    def _send_to(self, address, report):
+        host, _, port = address.rpartition(":")
+        data = encode_report(report)
+        try:
+            self._sock.sendto(data, (host, int(port)))
+            self.sent_bytes += len(data)
+        except OSError:
+            # Soft state: the next report will do.
+            pass
 
 
-def _open_socket(address):
+def create_fleet(state, address):
+    """Return a `Fleet` on the address, in a new incarnation."""
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
     sock.bind((host, int(port)))
-    return sock
+    return Fleet(state, address, sock, time.time_ns() // 1_000_000)
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -10,13 +10,15 @@
 from . import metrics
 from .caches import CacheScout
 from .decisions import DecisionLog
-from .fleet import Fleet
+from .domains import PROBE_INTERVAL, DomainProber
+from .duties import StoreDuty
+from .fleet import create_fleet
 from .forwarding import create_handler
 from .publishing import Publisher
 from .sockets import prepare_socket
 from .states import GatewayState
 from .stores import TopicFollower
-from .syncing import VIEW_PATH, ViewSync, encode_view
+from .syncing import VIEW_PATH, ViewSync, encode_view, make_topic_view
 from .views import ViewKeeper
 
 _SIDE_THREADS = 4
@@ -45,9 +47,10 @@
         self.timers = TimerService(clock=time.monotonic)
         self._clients = clients
         self._ready = ready
-        self._followers = _create_followers(state, adapter)
         listen = state.cfg.listen
-        self._fleet = Fleet(state, listen.reports)
+        self._fleet = create_fleet(state, listen.reports)
+        duty = StoreDuty(state, lambda: self._fleet.plan)
+        self._followers = _create_followers(state, adapter, duty)
         self._views = create_server(
             listen.fleet, self._create_view_handler(), threads=_SIDE_THREADS
         )
@@ -56,9 +59,11 @@
             self._followers.catalog,
             self._followers.instances,
             int(listen.fleet.rpartition(":")[2]),
+            duty.reads_store,
         )
         self._scout = CacheScout(state, adapter.list_parts)
         self._metrics = _create_metrics_server(state, self._update_gauges)
+        self._prober = DomainProber(state)
         self._publisher = Publisher(state, adapter, listen.reports)
 
     def start(self):
@@ -82,6 +87,7 @@
         self._clients.start_threads()
         self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
         self.timers.subscribe("caches", _CACHE_CHECK, self._scout.find_new)
+        self.timers.subscribe("domains", PROBE_INTERVAL, self._prober.probe)
         self.timers.subscribe("limits", _STALE_CHECK, self._apply_limits)
         self.timers.start()
 
@@ -128,9 +134,10 @@
             if request.path != VIEW_PATH or self.state.catalog is None:
                 reply.send(404, [], b"")
                 return
+            followers = self._followers
             data = encode_view(
-                self._followers.catalog.get_listing(),
-                self._followers.instances.get_listing(),
+                make_topic_view(followers.catalog, _get_offset(request, "catalog")),
+                make_topic_view(followers.instances, _get_offset(request, "instances")),
             )
             reply.send(200, [("Content-Type", "application/msgpack")], data)
 
@@ -212,13 +219,25 @@
     return create_server(address, handle, threads=_SIDE_THREADS)
 
 
-def _create_followers(state, adapter):
+def _get_offset(request, name):
+    text = request.query.get(name, "")
+    return int(text) if text.isdigit() else 0
+
+
+def _create_followers(state, adapter, duty):
     views = ViewKeeper(state, adapter)
 
     def follow(topic, apply, on_listed):
-        poll = state.cfg.store.poll
         return TopicFollower(
-            adapter.store, topic, apply, on_listed, state.log, poll, state.clock
+            adapter.store,
+            topic,
+            apply,
+            on_listed,
+            state.log,
+            duty.get_poll,
+            state.clock,
+            duty.reads_store,
+            state.note_store_heard,
         )
 
     return Followers(
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -268,13 +268,9 @@
         for part in parts:
             self._rows.append((get_digest(instance_id), get_digest(part.id)))
 
-    def has_news(self):
-        """Return whether there is something to tell."""
-        return bool(self._rows)
-
-    def take(self, most):
-        """Return and forget up to ``most`` rows."""
+    def take(self):
+        """Return and forget every row."""
         rows = []
-        while self._rows and len(rows) < most:
+        while self._rows:
             rows.append(self._rows.popleft())
         return rows
--- a/packages/valeweir_gateway/src/valeweir_gateway/members.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/members.py
@@ -1,95 +1,170 @@
 """Which other gateways there are, and what each reported last."""
 
 import threading
+from typing import NamedTuple
+
+import xxhash
+
+from .reports import Role
 
 _SILENT_AFTER = 1.5
 _FORGET_AFTER = 30.0
-_DOMAIN_SILENCE = 1.1
+_DOMAIN_SILENCE = 0.9
+_ANSWER_WAIT = 1.0
+
 
+class Member(NamedTuple):
+    """A gateway that exists or once did; ``address`` takes its reports."""
 
-class Peer:
-    """The latest report of one gateway."""
+    host: str
+    domain: str
+    address: str
 
-    __slots__ = ("address", "heard", "report")
 
-    def __init__(self, address, report, heard):
-        self.address = address
-        self.report = report
-        self.heard = heard
+class Peer(NamedTuple):
+    """The latest report of one gateway; ``heard`` is on the steady clock."""
+
+    address: str
+    report: object
+    heard: float
 
     @property
-    def source(self):
-        """Return the name of the incarnation."""
-        return f"{self.report.host}#{self.report.number}"
+    def host(self):
+        """Return the host of the gateway."""
+        return self.report.host
 
 
 class Members:
-    """Addresses to report to, and the gateways heard from, by host."""
+    """Gateways known, and those heard from, by host.
+
+    A gateway that does not answer is suspect until it is heard again.
+    """
 
-    def __init__(self, own_host, own_address):
-        self._own_host = own_host
-        self._own_address = own_address
+    def __init__(self, own):
+        self.own = own
         self._lock = threading.Lock()
-        self._addresses = {}
+        self._known = {own.host: own}
+        self._ranked = {own.domain: [own]}
+        self._unnamed = set()
+        self._tried = {}
         self.peers = {}
 
-    def add_address(self, address):
-        """Note where a gateway listens, whoever told it."""
-        if address and address != self._own_address:
-            with self._lock:
-                self._addresses.setdefault(address, None)
+    def __len__(self):
+        return len(self._known)
 
-    def drop_address(self, address):
-        """Forget an address that its gateway has withdrawn."""
+    def add(self, member):
+        """Note a gateway that somebody told of; what it says itself counts more."""
         with self._lock:
-            self._addresses.pop(address, None)
+            if member.host not in self.peers:
+                self._put(member)
+
+    def add_address(self, address):
+        """Note an address where some gateway may listen."""
+        if address != self.own.address and not self._is_named(address):
+            self._unnamed.add(address)
+
+    def get_unnamed(self):
+        """Return addresses of which nothing else is known."""
+        return list(self._unnamed)
+
+    def get(self, host):
+        """Return the `Member` of a host, or None."""
+        return self._known.get(host)
+
+    def get_known(self):
+        """Return every `Member`, this gateway included."""
+        return list(self._known.values())
+
+    def get_domains(self):
+        """Return the failure domains with members."""
+        return list(self._ranked)
 
-    def get_addresses(self):
-        """Return every address known."""
-        return list(self._addresses)
+    def get_ranked(self, domain):
+        """Return the members of a domain in an order that all agree on."""
+        return self._ranked.get(domain, [])
 
     def note(self, report, address, now):
         """Take in a report; return its `Peer`, or None for an old one."""
-        if report.host == self._own_host:
+        if report.host == self.own.host:
             return None
         with self._lock:
-            self._addresses.setdefault(address, None)
-            peer = self.peers.get(report.host)
-            if peer is None:
-                peer = self.peers[report.host] = Peer(address, report, now)
-                return peer
-            old = peer.report
-            later = (report.number, report.seq) > (old.number, old.seq)
-            # A clock that was set back gives a later start a lower number;
-            # then the silence of the other one tells them apart.
-            if not later and now - peer.heard < _SILENT_AFTER:
+            old = self.peers.get(report.host)
+            if old is not None and not _is_later(report, old, now):
                 return None
-            peer.address, peer.report, peer.heard = address, report, now
+            peer = self.peers[report.host] = Peer(address, report, now)
+            self._put(Member(report.host, report.domain, address))
+            self._tried.pop(report.host, None)
             return peer
 
+    def note_tried(self, host, now):
+        """Note that the host was sent something and should answer."""
+        peer = self.peers.get(host)
+        if peer is None or now - peer.heard > _ANSWER_WAIT:
+            self._tried.setdefault(host, now)
+
+    def is_suspect(self, host, now):
+        """Return whether the host was tried and has not answered."""
+        tried = self._tried.get(host)
+        return tried is not None and now - tried > _ANSWER_WAIT
+
     def get_live(self, now):
         """Return the peers heard from lately."""
         peers = list(self.peers.values())
         return [peer for peer in peers if now - peer.heard < _SILENT_AFTER]
 
+    def is_live(self, host, now):
+        """Return whether the host was heard from lately."""
+        peer = self.peers.get(host)
+        return peer is not None and now - peer.heard < _SILENT_AFTER
+
     def get_silent_domains(self, now):
-        """Return the domains with gateways known and none heard from lately."""
+        """Return the domains once heard from and not lately.
+
+        A relay's word counts for its group, which hears of others only by it.
+        """
         known = set()
         heard = set()
+        told = set()
         for peer in list(self.peers.values()):
             known.add(peer.report.domain)
             if now - peer.heard < _DOMAIN_SILENCE:
                 heard.add(peer.report.domain)
-        return known - heard
-
-    def is_live(self, address, now):
-        """Return whether a gateway at this address was heard from lately."""
-        return any(peer.address == address for peer in self.get_live(now))
+                if peer.report.role == Role.DOWN:
+                    told.update(peer.report.silent)
+        return (known - heard) | told
 
     def drop_silent(self, now):
         """Forget and return the peers that have been silent for long."""
         with self._lock:
             gone = [p for p in self.peers.values() if now - p.heard > _FORGET_AFTER]
             for peer in gone:
-                del self.peers[peer.report.host]
+                del self.peers[peer.host]
+                self._tried.setdefault(peer.host, now - _ANSWER_WAIT)
         return gone
+
+    def _is_named(self, address):
+        return any(member.address == address for member in self._known.values())
+
+    def _put(self, member):
+        old = self._known.get(member.host)
+        if old == member or member.host == self.own.host:
+            return
+        self._known[member.host] = member
+        self._unnamed.discard(member.address)
+        rows = [row for row in self._known.values() if row.domain == member.domain]
+        self._ranked[member.domain] = sorted(rows, key=_get_rank)
+        if old is not None and old.domain != member.domain:
+            rows = [row for row in self._known.values() if row.domain == old.domain]
+            self._ranked[old.domain] = sorted(rows, key=_get_rank)
+
+
+def _is_later(report, old, now):
+    if (report.number, report.seq) > (old.report.number, old.report.seq):
+        return True
+    # A clock that was set back gives a later start a lower number; then the
+    # silence of the other one tells them apart.
+    return now - old.heard >= _SILENT_AFTER
+
+
+def _get_rank(member):
+    return xxhash.xxh64_intdigest(member.host.encode())
--- a/packages/valeweir_gateway/src/valeweir_gateway/publishing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/publishing.py
@@ -29,11 +29,11 @@
     def run(self, stopped):
         """Publish, with pauses that double, until done or ``stopped``."""
         pause = _FIRST_PAUSE
+        cfg = self._state.cfg
+        record = f"{cfg.domain} {self._address}"
         while not stopped.is_set():
             try:
-                self._store.put(
-                    self._topic, self._state.cfg.host, self._address.encode()
-                )
+                self._store.put(self._topic, cfg.host, record.encode())
                 return
             except PlatformUnavailable as exc:
                 self._state.log.note("address not published", failed=True, why=str(exc))
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/relays.py
@@ -0,0 +1,100 @@
+"""Who reports to whom.
+
+A small fleet reports in a full mesh. In a larger one each failure domain has a
+few relays: a gateway reports to one of them, relays report sums of their groups
+to each other, and each tells its group about all the rest. Nobody is elected:
+every gateway ranks the members that it knows in the same order, passes over
+those that do not answer, and whoever is reported to acts as a relay.
+"""
+
+import math
+from typing import NamedTuple
+
+import xxhash
+
+from .reports import Role
+
+MESH_LIMIT = 16
+_GROUP_SIZE = 16
+_LEAST_RELAYS = 2
+_STANDBYS = 2
+
+
+class Plan(NamedTuple):
+    """A gateway's part in the exchange.
+
+    ``relay`` is the `Member` to report to, None for a relay; ``fellows`` are
+    the other relays and ``group`` those that report to this one; ``watched``
+    are members to ask for a sign of life.
+    """
+
+    is_relay: bool
+    relay: object
+    fellows: tuple
+    group: tuple
+    watched: tuple
+
+
+def count_relays(domain_size, fleet_size):
+    """Return how many relays a failure domain has."""
+    if fleet_size <= MESH_LIMIT:
+        return domain_size
+    wanted = math.ceil(domain_size / _GROUP_SIZE)
+    return min(domain_size, max(_LEAST_RELAYS, wanted))
+
+
+def make_plan(members, now):
+    """Return the `Plan` of the gateway that ``members`` belongs to."""
+    own = members.own
+    live = members.get_live(now)
+    group = tuple(
+        members.get(peer.host) for peer in live if peer.report.role == Role.UP
+    )
+    relays = _choose_relays(members, own.domain, now)
+    if own in relays or group:
+        fellows = _find_fellows(members, live, now)
+        watched = _find_unheard(members, members.get_domains(), now)
+        return Plan(True, None, fellows, group, watched)
+    relay = relays[_get_place(own.host) % len(relays)] if relays else None
+    watched = ()
+    if own in _get_candidates(members, own.domain):
+        watched = _find_unheard(members, [own.domain], now)
+    return Plan(False, relay, (), (), watched)
+
+
+def _choose_relays(members, domain, now):
+    ranked = members.get_ranked(domain)
+    count = count_relays(len(ranked), len(members))
+    usable = [row for row in ranked if not members.is_suspect(row.host, now)]
+    return usable[:count]
+
+
+def _get_candidates(members, domain):
+    ranked = members.get_ranked(domain)
+    return ranked[: count_relays(len(ranked), len(members)) + _STANDBYS]
+
+
+def _find_fellows(members, live, now):
+    found = {
+        peer.host: members.get(peer.host)
+        for peer in live
+        if peer.report.role == Role.ACROSS
+    }
+    for domain in members.get_domains():
+        for row in _choose_relays(members, domain, now):
+            found.setdefault(row.host, row)
+    found.pop(members.own.host, None)
+    return tuple(found.values())
+
+
+def _find_unheard(members, domains, now):
+    return tuple(
+        row
+        for domain in domains
+        for row in _get_candidates(members, domain)
+        if row != members.own and not members.is_live(row.host, now)
+    )
+
+
+def _get_place(host):
+    return xxhash.xxh32_intdigest(host.encode())
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -1,27 +1,49 @@
 """What gateways tell each other: small datagrams of soft state.
 
 Every report holds absolute figures, so one that is lost, doubled or late does
-no harm: the next one corrects it. A report fits one datagram; figures of
-accounts that do not fit go with the next.
+no harm: the next one corrects it. A report fits one datagram; where figures do
+not fit, the smallest are left out.
 """
 
+from enum import StrEnum
+
 import msgspec
 import xxhash
 
-VERSION = 1
-MAX_BYTES = 1_300
+VERSION = 2
+MAX_BYTES = 1_400
+_KEPT_PART = 0.75
+
+
+class Role(StrEnum):
+    """Who tells whom.
+
+    ``UP``: a gateway to its relay, about itself. ``ACROSS``: a relay to
+    another, about its group. ``DOWN``: a relay to one of its group, about all
+    the others. ``HELLO`` asks for a sign of life and ``ALIVE`` gives it; both
+    hold no figures.
+    """
+
+    UP = "u"
+    ACROSS = "a"
+    DOWN = "d"
+    HELLO = "h"
+    ALIVE = "l"
 
 
 class Report(msgspec.Struct, array_like=True, frozen=True):
-    """State of one gateway.
+    """State of one gateway, or sums over a group of them.
 
     ``number`` is the incarnation, greater for a later start; ``seq`` rises
     with every report. ``catalog_version`` and ``directory_offset`` tell how new
-    its view is. ``loads`` maps an instance's digest to the prompt
-    tokens sent there and not read, and the requests running. ``usage`` maps
-    an account's digest to the tokens asked and begun since the start.
-    ``reads`` lists (instance digest, part digest) of prompt parts that an
-    instance reads for the first time. ``members`` are addresses of gateways heard from.
+    the sender's view is and ``store_age`` when it last heard from the store, in
+    seconds, negative for never. ``gateways`` is how many the sums stand for.
+    ``loads`` maps an instance's digest to the prompt tokens sent there and not
+    read, and the requests running. ``usage`` maps an account's digest to the
+    tokens asked and begun within the window. ``reads`` lists (instance digest,
+    part digest) of prompt parts that an instance reads for the first time.
+    ``silent`` names failure domains that the sender's relays hear nothing of.
+    ``members`` are rows of host, failure domain and address.
     """
 
     version: int
@@ -29,13 +51,17 @@
     domain: str
     number: int
     seq: int
-    catalog_version: int
-    directory_offset: int
-    stopping: bool
-    loads: dict[int, tuple[int, int]]
-    usage: dict[int, tuple[int, int]]
-    reads: list[tuple[int, int]]
-    members: list[str]
+    role: Role
+    catalog_version: int = 0
+    directory_offset: int = 0
+    store_age: float = -1.0
+    stopping: bool = False
+    gateways: int = 1
+    loads: dict[int, tuple[int, int]] = {}
+    usage: dict[int, tuple[int, int]] = {}
+    reads: list[tuple[int, int]] = []
+    silent: list[str] = []
+    members: list[tuple[str, str, str]] = []
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -48,8 +74,20 @@
 
 
 def encode_report(report):
-    """Return the bytes of a report."""
-    return _encoder.encode(report)
+    """Return the bytes of a report, cut down to one datagram."""
+    data = _encoder.encode(report)
+    if len(data) > MAX_BYTES and report.members:
+        report = msgspec.structs.replace(report, members=[])
+        data = _encoder.encode(report)
+    while len(data) > MAX_BYTES:
+        report = msgspec.structs.replace(
+            report,
+            loads=_keep_greatest(report.loads),
+            usage=_keep_greatest(report.usage),
+            reads=report.reads[: len(report.reads) // 2],
+        )
+        data = _encoder.encode(report)
+    return data
 
 
 def decode_report(data):
@@ -59,3 +97,8 @@
     except msgspec.MsgspecError:
         return None
     return report if report.version == VERSION else None
+
+
+def _keep_greatest(rows):
+    kept = sorted(rows.items(), key=lambda item: item[1], reverse=True)
+    return dict(kept[: int(len(kept) * _KEPT_PART)])
--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -3,7 +3,8 @@
 import threading
 
 from .reports import get_digest
-from .usage import compute_level
+from .sums import add_rows
+from .usage import Amount, compute_level
 
 _REFRESH = 0.05
 _LEAST_FACTOR = 0.25
@@ -28,6 +29,7 @@
         self._at = -1.0
         self._level = float("inf")
         self._amounts = {}
+        self._remote = {}
 
     def note_asked(self, account, cost, now):
         """Count the tokens of a request that has come."""
@@ -37,6 +39,10 @@
         """Count the tokens of a request that an upstream was sent."""
         self._usage.add(get_digest(account), 0, cost, now)
 
+    def set_remote(self, amounts):
+        """Take in what the other gateways were asked and began, by account."""
+        self._remote = amounts
+
     def get_factor(self, account, tokens_per_second, now):
         """Return by how much the account's wait limit differs, about 1.
 
@@ -60,7 +66,9 @@
         if now - self._at < _REFRESH:
             return
         self._at = now
-        self._amounts = self._usage.get_amounts(now)
+        amounts = dict(self._usage.get_amounts(now))
+        add_rows(amounts, self._remote)
+        self._amounts = {name: Amount(*row) for name, row in amounts.items()}
         begun = sum(amount.begun for amount in self._amounts.values())
         capacity = max(begun, tokens_per_second * self._window)
         asked = [amount.asked for amount in self._amounts.values()]
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -10,7 +10,7 @@
 from .goals import RecentGoals
 from .headers import HeaderNames
 from .loads import Loads, Reads
-from .members import Members
+from .members import Member, Members
 from .metrics import GatewayMetrics
 from .retries import RetryBudget
 from .shares import Shares
@@ -43,7 +43,8 @@
         self.reads = Reads()
         self.goals = RecentGoals()
         self.domains = Domains(cfg.domain)
-        self.members = Members(cfg.host, cfg.listen.reports)
+        self.members = Members(Member(cfg.host, cfg.domain, cfg.listen.reports))
+        self._store_heard = {}
         self.usage = UsageWindow(cfg.sharing.window)
         self.shares = Shares(self.usage, cfg.sharing)
         self.connections = Connections(clock)
@@ -74,6 +75,29 @@
         """Return whether the balancer should send clients here."""
         return self.catalog is not None and self.directory_known and not self.stopping
 
+    def get_peers_store_age(self, now):
+        """Return seconds since any live peer heard from the store, or None."""
+        ages = [
+            peer.report.store_age + now - peer.heard
+            for peer in self.members.get_live(now)
+            if peer.report.store_age >= 0.0
+        ]
+        return min(ages) if ages else None
+
+    def get_store_age(self, now):
+        """Return seconds since this gateway or a live peer heard from the store.
+
+        Negative where none has.
+        """
+        ages = [self.get_peers_store_age(now)]
+        if self._store_heard:
+            ages.append(now - min(self._store_heard.values()))
+        return min((age for age in ages if age is not None), default=-1.0)
+
+    def note_store_heard(self, topic, now):
+        """Note that the store has answered for a topic."""
+        self._store_heard[topic] = now
+
     def enter(self):
         """Count a request as in flight."""
         with self._lock:
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -1,5 +1,6 @@
 """What the gateway needs of the platform's store, and following it."""
 
+import collections
 import threading
 from typing import NamedTuple, Protocol
 
@@ -7,6 +8,8 @@
 
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 1.0
+_IDLE_CHECK = 0.05
+_MAX_DROPPED = 2_000
 
 
 class HistoryExpired(PlatformUnavailable):
@@ -61,9 +64,27 @@
         Called with each `Entry` that is newer than what was known of its key.
     on_listed : callable
         Called with the end offset after each listing or batch has been applied.
+    poll : callable
+        Returns how long a call waits for a record, in seconds.
+    is_wanted : callable
+        Returns whether to go on reading once the topic has been listed; a
+        gateway that takes its view from a peer reads nothing itself.
+    on_heard : callable
+        Called with the topic and the time after each answer of the store.
     """
 
-    def __init__(self, store, topic, apply, on_listed, log, poll, clock):
+    def __init__(
+        self,
+        store,
+        topic,
+        apply,
+        on_listed,
+        log,
+        poll,
+        clock,
+        is_wanted=lambda: True,
+        on_heard=lambda topic, now: None,
+    ):
         self._store = store
         self._topic = topic
         self._apply = apply
@@ -71,18 +92,24 @@
         self._log = log
         self._poll = poll
         self._clock = clock
-        self._offsets = {}
+        self._is_wanted = is_wanted
         self._next = None
         self._lock = threading.RLock()
         self._entries = {}
+        self._dropped = collections.deque()
+        self._oldest_whole = 0
         self.end = 0
         self._pause = _FIRST_PAUSE
         self._available = None
         self.heard = None
+        self._on_heard = on_heard
 
     def run(self, stopped):
         """Follow until ``stopped`` is set; the body of a thread."""
         while not stopped.is_set():
+            if self.end and not self._is_wanted():
+                stopped.wait(_IDLE_CHECK)
+                continue
             if not self.follow_once():
                 stopped.wait(self._pause)
                 self._pause = min(self._pause * 2, _LONGEST_PAUSE)
@@ -113,50 +140,82 @@
     def get_listing(self):
         """Return what is known as a `Listing`, for a peer."""
         with self._lock:
-            return Listing(list(self._entries.values()), self.end)
+            kept = [e for e in self._entries.values() if e.value is not None]
+            return Listing(kept, self.end)
+
+    def get_batch(self, offset):
+        """Return a `Batch` of what changed from ``offset`` on, None if forgotten."""
+        with self._lock:
+            if offset < self._oldest_whole:
+                return None
+            rows = [e for e in self._entries.values() if e.offset >= offset]
+            return Batch(sorted(rows, key=lambda row: row.offset), self.end)
 
     def adopt(self, listing):
         """Take in a peer's listing; older records than ours change nothing."""
         with self._lock:
             self._take_listing(listing)
 
+    def adopt_batch(self, batch):
+        """Take in what a peer says has changed since our end."""
+        with self._lock:
+            self._take_batch(batch)
+
     def _list(self):
         listing = self._store.list_newest(self._topic)
         with self._lock:
             self._take_listing(listing)
             self._next = listing.end
+        self._note_heard()
+
+    def _note_heard(self):
         self.heard = self._clock()
+        self._on_heard(self._topic, self.heard)
 
     def _take_listing(self, listing):
         named = {entry.key for entry in listing.entries}
         for entry in listing.entries:
             self._take(entry)
-        for key in self._entries.keys() - named:
+        kept = {e.key for e in self._entries.values() if e.value is not None}
+        for key in kept - named:
             # The key was dropped while nothing was heard.
             self._take(Entry(key, None, listing.end - 1))
         self.end = max(self.end, listing.end)
         self._on_listed(self.end)
 
     def _read(self):
-        batch = self._store.read(self._topic, self._next, self._poll)
+        # What a peer has told meanwhile need not be read again.
+        start = self._next = max(self._next, self.end)
+        batch = self._store.read(self._topic, start, self._poll())
         with self._lock:
-            for entry in batch.entries:
-                self._take(entry)
+            self._take_batch(batch)
             self._next = batch.end
-            self.end = max(self.end, batch.end)
-            self._on_listed(self.end)
-        self.heard = self._clock()
+        self._note_heard()
+
+    def _take_batch(self, batch):
+        for entry in batch.entries:
+            self._take(entry)
+        self.end = max(self.end, batch.end)
+        self._on_listed(self.end)
 
     def _take(self, entry):
-        if entry.offset <= self._offsets.get(entry.key, -1):
+        known = self._entries.get(entry.key)
+        if known is not None and entry.offset <= known.offset:
             return
-        self._offsets[entry.key] = entry.offset
+        self._entries[entry.key] = entry
         if entry.value is None:
-            self._entries.pop(entry.key, None)
-        else:
-            self._entries[entry.key] = entry
+            self._note_dropped(entry)
         self._apply(entry)
 
+    def _note_dropped(self, entry):
+        """Keep the newest dropped keys, so that peers can be told of them."""
+        self._dropped.append(entry)
+        while len(self._dropped) > _MAX_DROPPED:
+            oldest = self._dropped.popleft()
+            if self._entries.get(oldest.key) is oldest:
+                del self._entries[oldest.key]
+            self._oldest_whole = max(self._oldest_whole, oldest.offset + 1)
+
     def _set_available(self, available, why):
         if available == self._available:
             return
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/sums.py
@@ -0,0 +1,58 @@
+"""Adding up what gateways report; rows are pairs of figures by digest."""
+
+
+def add_rows(total, rows):
+    """Add pairs to a table in place."""
+    for key, (first, second) in rows.items():
+        old_first, old_second = total.get(key, (0, 0))
+        total[key] = (old_first + first, old_second + second)
+
+
+def subtract_rows(total, rows):
+    """Return the table without the share of some rows, never below zero."""
+    left = dict(total)
+    for key, (first, second) in rows.items():
+        old_first, old_second = left.get(key, (0, 0))
+        pair = (max(0, old_first - first), max(0, old_second - second))
+        if any(pair):
+            left[key] = pair
+        else:
+            left.pop(key, None)
+    return left
+
+
+class Totals:
+    """Loads, usage and the number of gateways that they stand for."""
+
+    __slots__ = ("gateways", "loads", "usage")
+
+    def __init__(self):
+        self.loads = {}
+        self.usage = {}
+        self.gateways = 0
+
+    def add(self, loads, usage, gateways):
+        """Add the figures of a gateway or a group."""
+        add_rows(self.loads, loads)
+        add_rows(self.usage, usage)
+        self.gateways += gateways
+
+    def add_report(self, report):
+        """Add the figures of a report."""
+        self.add(report.loads, report.usage, report.gateways)
+
+    def copy(self):
+        """Return totals that change apart from these."""
+        other = Totals()
+        other.loads = dict(self.loads)
+        other.usage = dict(self.usage)
+        other.gateways = self.gateways
+        return other
+
+    def without(self, part):
+        """Return the totals less what a report, or other totals, contributed."""
+        other = Totals()
+        other.loads = subtract_rows(self.loads, part.loads)
+        other.usage = subtract_rows(self.usage, part.usage)
+        other.gateways = max(0, self.gateways - part.gateways)
+        return other
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -1,7 +1,8 @@
-"""Taking a newer view from a peer where the store cannot be reached.
+"""Taking a newer view from a peer that reads the store.
 
-A gateway that starts while the store is away, or that the store turns away,
-sees in its peers' reports that their view is newer and asks one for it.
+In a large fleet only some gateways read the store, and the others take what
+changed from their relay. So does a gateway that the store turns away, or that
+starts while the store is away: reports tell whose view is newer.
 """
 
 import threading
@@ -10,64 +11,81 @@
 import msgspec
 import urllib3
 
-from .stores import Entry, Listing
+from .stores import Batch, Entry, Listing
 
 VIEW_PATH = "/fleet/view"
-_CHECK = 0.1
+_CHECK = 0.05
 _PATIENCE = 0.25
 _TIMEOUT = 1.0
 
 
+class TopicView(msgspec.Struct, array_like=True, frozen=True):
+    """Records of one topic; ``is_whole`` where it is a listing, no change."""
+
+    entries: list[tuple[str, bytes | None, int]]
+    end: int
+    is_whole: bool
+
+
 class View(msgspec.Struct, array_like=True, frozen=True):
-    """Everything a gateway has read from the store."""
+    """What a gateway has read from the store, or what changed of it."""
 
-    catalog: list[tuple[str, bytes, int]]
-    catalog_end: int
-    instances: list[tuple[str, bytes, int]]
-    instances_end: int
+    catalog: TopicView
+    instances: TopicView
 
 
 _decoder = msgspec.msgpack.Decoder(View)
 
 
+def make_topic_view(follower, offset):
+    """Return the `TopicView` of what changed from ``offset`` on, 0 for all."""
+    batch = follower.get_batch(offset) if offset else None
+    if batch is None:
+        listing = follower.get_listing()
+        return TopicView([tuple(e) for e in listing.entries], listing.end, True)
+    return TopicView([tuple(entry) for entry in batch.entries], batch.end, False)
+
+
 def encode_view(catalog, instances):
-    """Return the bytes of a view from two `Listing`."""
-    view = View(
-        [tuple(entry) for entry in catalog.entries],
-        catalog.end,
-        [tuple(entry) for entry in instances.entries],
-        instances.end,
-    )
-    return msgspec.msgpack.encode(view)
+    """Return the bytes of a view of two `TopicView`."""
+    return msgspec.msgpack.encode(View(catalog, instances))
 
 
 def decode_view(data):
-    """Return the `Listing` of the catalog and of the instances, or None."""
+    """Return the `View` in some bytes, or None."""
     try:
-        view = _decoder.decode(data)
+        return _decoder.decode(data)
     except msgspec.MsgspecError:
         return None
-    return (
-        Listing([Entry(*row) for row in view.catalog], view.catalog_end),
-        Listing([Entry(*row) for row in view.instances], view.instances_end),
-    )
+
+
+def adopt_view(follower, view):
+    """Let a follower take in a `TopicView`."""
+    entries = [Entry(*row) for row in view.entries]
+    if view.is_whole:
+        follower.adopt(Listing(entries, view.end))
+    else:
+        follower.adopt_batch(Batch(entries, view.end))
 
 
 class ViewSync:
-    """Asks peers for their view while theirs is newer than ours.
+    """Asks peers for what changed while their view is newer than ours.
 
     Parameters
     ----------
     catalog, instances : stores.TopicFollower
     port : int
         Port of the fleet's HTTP interface, the same at every gateway.
+    reads_store : callable
+        Returns whether this gateway reads the store itself.
     """
 
-    def __init__(self, state, catalog, instances, port):
+    def __init__(self, state, catalog, instances, port, reads_store):
         self._state = state
         self._catalog = catalog
         self._instances = instances
         self._port = port
+        self._reads_store = reads_store
         self._behind_since = None
         self._pool = urllib3.PoolManager(num_pools=8, maxsize=1, retries=False)
 
@@ -93,15 +111,16 @@
         """Take the peer's view in; return whether it could be had."""
         host = peer.address.rpartition(":")[0]
         url = f"http://{host}:{self._port}{VIEW_PATH}"
+        since = {"catalog": self._catalog.end, "instances": self._instances.end}
         try:
-            resp = self._pool.request("GET", url, timeout=_TIMEOUT)
+            resp = self._pool.request("GET", url, fields=since, timeout=_TIMEOUT)
         except urllib3.exceptions.HTTPError:
             return False
-        listings = decode_view(resp.data) if resp.status == 200 else None
-        if listings is None:
+        view = decode_view(resp.data) if resp.status == 200 else None
+        if view is None:
             return False
-        self._catalog.adopt(listings[0])
-        self._instances.adopt(listings[1])
+        adopt_view(self._catalog, view.catalog)
+        adopt_view(self._instances, view.instances)
         return True
 
     def _run(self, stopped):
@@ -114,11 +133,12 @@
             if self._behind_since is None:
                 self._behind_since = now
             # The store's own answer is usually a moment away.
-            if now - self._behind_since < _PATIENCE:
+            patience = _PATIENCE if self._reads_store() else 0.0
+            if now - self._behind_since < patience:
                 continue
             taken = self.fetch(peer)
             self._state.log.note(
-                "view from peer", failed=not taken, peer=peer.report.host, taken=taken
+                "view from peer", failed=not taken, peer=peer.host, taken=taken
             )
             if not taken:
                 stopped.wait(_PATIENCE)
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -1,6 +1,7 @@
 """Taking records of the store into the gateway's view of the world."""
 
 from .adapters import BadRecord
+from .members import Member
 
 
 class ViewKeeper:
@@ -56,8 +57,13 @@
 
     def apply_member(self, entry):
         """Take in a record of the members topic: where a gateway listens."""
-        if entry.value is not None:
-            self._state.members.add_address(entry.value.decode("latin-1"))
+        if entry.value is None:
+            return
+        domain, _, address = entry.value.decode("latin-1").rpartition(" ")
+        if not domain:
+            self._note_bad(entry.key, entry.offset, "no failure domain")
+            return
+        self._state.members.add(Member(entry.key, domain, address))
 
     def note_directory(self, offset):
         """Note that every instance known before ``offset`` has been taken in."""
