--- a/packages/valeweir_gateway/src/valeweir_gateway/duties.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/duties.py
@@ -9,6 +9,10 @@
 
 _LONGEST_AGE = 2.0
 _FLEET_POLL = 1.0
+# At the start others may soon be heard that have read the store already.
+_MEMBERS_WAIT = 1.0
+_VIEW_WAIT = 2.0
+_MEMBERS_FOLLOWED = 5.0
 
 
 class StoreDuty:
@@ -17,7 +21,8 @@
     def __init__(self, state, get_plan):
         self._state = state
         self._get_plan = get_plan
-        self._reads = True
+        self._reads = None
+        self._started = state.clock()
 
     def reads_store(self):
         """Return whether this gateway reads the store now."""
@@ -27,6 +32,13 @@
             self._state.log.note("store duty", reads=reads)
         return reads
 
+    def reads_members(self):
+        """Return whether this gateway still reads who else there is.
+
+        Later ones find the earlier ones and say so themselves.
+        """
+        return self._state.clock() - self._started < _MEMBERS_FOLLOWED
+
     def get_poll(self):
         """Return how long a call waits for a record, in seconds.
 
@@ -40,12 +52,17 @@
     def _decide(self, now):
         state = self._state
         plan = self._get_plan()
-        if plan is None or len(state.members) <= MESH_LIMIT:
+        uptime = now - self._started
+        if plan is None or not state.members_known and uptime < _MEMBERS_WAIT:
+            return False
+        if len(state.members) <= MESH_LIMIT:
             return True
         if plan.is_relay and self._is_first(now):
             return True
         age = state.get_peers_store_age(now)
-        return age is None or age > _LONGEST_AGE
+        if age is None:
+            return uptime > _VIEW_WAIT
+        return age > _LONGEST_AGE
 
     def _is_first(self, now):
         members = self._state.members
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -18,7 +18,7 @@
 _TICK = 0.04
 # Seconds of an interval for each link, so that a relay of many sends less often.
 _TICK_PER_LINK = 0.0025
-_HEARTBEAT = 0.25
+_HEARTBEAT = 0.3
 _COUNT_MEMORY = 30.0
 _ASK_INTERVAL = 1.0
 _RECEIVE_BYTES = 2_048
@@ -72,9 +72,13 @@
 
     def _send_loop(self, stopped):
         interval = _TICK
+        due = self._state.clock() + interval
         while not stopped.wait(interval):
-            self.tick(self._state.clock())
+            now = self._state.clock()
+            self._state.pressure.note(now - due, now)
+            self.tick(now)
             interval = max(_TICK, _TICK_PER_LINK * len(self._links))
+            due = self._state.clock() + interval
 
     def _receive_loop(self, stopped):
         self._sock.settimeout(_RECEIVE_TIMEOUT)
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -152,6 +152,7 @@
         gauges = state.metrics
         gauges.inflight.set(state.inflight)
         gauges.catalog_version.set(state.catalog.version if state.catalog else 0)
+        gauges.lag.set(state.pressure.lag)
         gauges.live_peers.set(len(state.members.get_live(state.clock())))
         gauges.instances.set(len(state.directory.by_id))
         gauges.report_bytes.set(self._fleet.sent_bytes)
@@ -227,7 +228,16 @@
 def _create_followers(state, adapter, duty):
     views = ViewKeeper(state, adapter)
 
-    def follow(topic, apply, on_listed):
+    def ignore(*_):
+        pass
+
+    def follow(
+        topic,
+        apply,
+        on_listed=ignore,
+        is_wanted=duty.reads_store,
+        on_heard=state.note_store_heard,
+    ):
         return TopicFollower(
             adapter.store,
             topic,
@@ -236,12 +246,18 @@
             state.log,
             duty.get_poll,
             state.clock,
-            duty.reads_store,
-            state.note_store_heard,
+            is_wanted,
+            on_heard,
         )
 
     return Followers(
-        follow(adapter.catalog_topic, views.apply_catalog, lambda end: None),
+        follow(adapter.catalog_topic, views.apply_catalog),
         follow(adapter.instance_topic, views.apply_instance, views.note_directory),
-        follow(adapter.member_topic, views.apply_member, lambda end: None),
+        follow(
+            adapter.member_topic,
+            views.apply_member,
+            views.note_members,
+            duty.reads_members,
+            ignore,
+        ),
     )
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -12,6 +12,7 @@
 from .loads import Loads, Reads
 from .members import Member, Members
 from .metrics import GatewayMetrics
+from .pressure import Pressure
 from .retries import RetryBudget
 from .shares import Shares
 from .usage import UsageWindow
@@ -24,7 +25,9 @@
     it once and works on one version to its end.
     """
 
-    def __init__(self, cfg, log, names=None, clock=time.monotonic, seed=None):
+    def __init__(
+        self, cfg, log, names=None, clock=time.monotonic, seed=None, pause=time.sleep
+    ):
         names = names or HeaderNames()
         self.cfg = cfg
         self.log = log
@@ -33,15 +36,18 @@
         # The HTTP library gives the names of request headers in title case.
         self.incoming = HeaderNames(*(name.title() for name in names))
         self.clock = clock
+        self.pause = pause
         self.rng = random.Random(seed)
         self.catalog = None
         self.directory = Directory()
         self.directory_known = False
+        self.members_known = False
         self.directory_offset = 0
         self.bad_records = 0
         self.loads = Loads()
         self.reads = Reads()
         self.goals = RecentGoals()
+        self.pressure = Pressure(log)
         self.domains = Domains(cfg.domain)
         self.members = Members(Member(cfg.host, cfg.domain, cfg.listen.reports))
         self._store_heard = {}
@@ -60,6 +66,7 @@
                 names.deadline,
                 names.account,
                 names.expected_instance,
+                names.fetch_from,
                 "Authorization",
                 "Content-Length",
                 "Expect",
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -8,7 +8,8 @@
 
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 1.0
-_IDLE_CHECK = 0.05
+_IDLE_CHECK = 0.15
+_SERIES_PAUSE = 0.2
 _MAX_DROPPED = 2_000
 
 
@@ -67,8 +68,8 @@
     poll : callable
         Returns how long a call waits for a record, in seconds.
     is_wanted : callable
-        Returns whether to go on reading once the topic has been listed; a
-        gateway that takes its view from a peer reads nothing itself.
+        Returns whether to read now; a gateway that takes its view from a peer
+        reads nothing itself.
     on_heard : callable
         Called with the topic and the time after each answer of the store.
     """
@@ -107,12 +108,16 @@
     def run(self, stopped):
         """Follow until ``stopped`` is set; the body of a thread."""
         while not stopped.is_set():
-            if self.end and not self._is_wanted():
+            if not self._is_wanted():
                 stopped.wait(_IDLE_CHECK)
                 continue
+            before = self.end
             if not self.follow_once():
                 stopped.wait(self._pause)
                 self._pause = min(self._pause * 2, _LONGEST_PAUSE)
+            elif self.end != before:
+                # Changes come in series; one call then brings several.
+                stopped.wait(_SERIES_PAUSE)
 
     def start(self, stopped):
         """Follow in a thread of its own."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -14,7 +14,8 @@
 from .stores import Batch, Entry, Listing
 
 VIEW_PATH = "/fleet/view"
-_CHECK = 0.05
+_CHECK = 0.06
+_READERS_CHECK = 0.15
 _PATIENCE = 0.25
 _TIMEOUT = 1.0
 
@@ -124,7 +125,7 @@
         return True
 
     def _run(self, stopped):
-        while not stopped.wait(_CHECK):
+        while not stopped.wait(_READERS_CHECK if self._reads_store() else _CHECK):
             now = time.monotonic()
             peer = self.find_newer(now)
             if peer is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -70,6 +70,10 @@
         self._state.directory_known = True
         self._state.directory_offset = offset
 
+    def note_members(self, offset):
+        """Note that every gateway in the store's list is known."""
+        self._state.members_known = True
+
     def _drop(self, instance, offset):
         state = self._state
         state.connections.drop(instance.id)
