--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -138,6 +138,7 @@
         (names.deadline, str(max(1, int(left * 1000)))),
         (names.expected_instance, choice.instance.id),
         (names.account, job.account.name if job.account else None),
+        (names.fetch_from, choice.source.address if choice.source else None),
     ]
     dropped = state.reserved_headers
     if job.last_event_id is not None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/catalog.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/catalog.py
@@ -42,10 +42,17 @@
 
 
 class Engine(NamedTuple):
-    """What a service of model engines declares; memory in tokens."""
+    """What a service of model engines declares; memory in tokens.
+
+    ``token_bytes`` is the size of a cached token and ``link_rate`` the bytes a
+    second at which one engine can take cached tokens from another, 0 where it
+    cannot.
+    """
 
     slots: int
     memory: int
+    token_bytes: float = 0.0
+    link_rate: float = 0.0
 
 
 class Service(NamedTuple):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -117,7 +117,8 @@
     if job.prompt is None:
         zone = state.cfg.domain
         return choose_instance(usable, state.loads, zone, now, state.rng)
-    choice = choose_engine(job.prompt, usable, state.loads, now)
+    engine = job.catalog.services[job.service].engine
+    choice = choose_engine(job.prompt, usable, state.loads, now, engine)
     if job.sends == 0:
         refusal = admission.decide(state, job, choice, now)
         if refusal is not None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/headers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/headers.py
@@ -14,6 +14,7 @@
     last_event_id: str = "Last-Event-ID"
     account: str = "X-Valeweir-Account"
     expected_instance: str = "X-Valeweir-Instance"
+    fetch_from: str = "X-Valeweir-Fetch-From"
     not_run: str = "X-Valeweir-Rejected"
     signature: str = "X-Valeweir-Signature"
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement.py
@@ -6,6 +6,11 @@
 
 _REREAD_WEIGHT = 3.5
 _RANK_WAIT = 0.005
+# Against the price of reading the same tokens anew.
+_MOVE_WEIGHT = 8.0
+_MOVE_BASE = 0.005
+_LEAST_MOVE = 500
+_MOST_HOLDERS = 4
 _REMOTE_ZONE_WAIT = 0.002
 
 
@@ -21,6 +26,7 @@
     wait: float
     alone: float
     reason: str
+    source: object = None
 
 
 def rank_instances(key, instances):
@@ -32,39 +38,100 @@
     )
 
 
-def choose_engine(prompt, instances, loads, now):
-    """Return the `Choice` with the least wait and reading, or None.
+def choose_engine(prompt, instances, loads, now, engine=None):
+    """Return the `Choice` with the least wait and price, or None.
 
     A shared part is taken as read where the instance, this gateway or a peer
     has said so, and where nothing is known yet at the instance that rendezvous
     hashing names, since all gateways prefer that one. Reading it anew costs
-    capacity that others wait for, so it weighs more than the time it takes.
+    capacity that others wait for, so it weighs more than the time it takes;
+    taking it from an instance that holds it costs less.
     """
+    ranked = rank_instances(prompt.home, instances)
+    cached = [
+        count_cached(prompt, instance, rank == 0, loads, now)
+        for rank, instance in enumerate(ranked)
+    ]
+    holders = find_holders(prompt, ranked, loads, now, engine)
     best = None
-    for rank, instance in enumerate(rank_instances(prompt.home, instances)):
-        uncached = count_uncached(prompt, instance, rank == 0, loads, now)
-        wait = loads.estimate_wait(instance.id, uncached, now)
-        own = prompt.parts[-1].tokens if prompt.parts else prompt.tokens
-        reread = max(0, uncached - own)
-        score = wait + _REREAD_WEIGHT * reread / loads.rate + _RANK_WAIT * rank
+    for rank, instance in enumerate(ranked):
+        source = pick_source(instance, cached[rank], holders)
+        option = _weigh(prompt, instance, cached[rank], source, loads, now, engine)
+        score = option.score + _RANK_WAIT * rank
         if best is None or score < best[0]:
-            reason = "home" if rank == 0 else "spill"
-            alone = loads.estimate_alone(instance.id, uncached, now)
-            best = (score, Choice(instance, uncached, wait, alone, reason))
-    return best[1] if best else None
+            best = (score, rank, instance, option, source)
+    if best is None:
+        return None
+    _, rank, instance, option, source = best
+    alone = loads.estimate_alone(instance.id, option.unread, now) + option.move
+    reason = "home" if rank == 0 else "spill"
+    if source is not None:
+        reason = "fetch"
+    found = source[0] if source else None
+    return Choice(instance, option.unread, option.wait, alone, reason, found)
+
+
+class _Option(NamedTuple):
+    """An instance weighed; ``move`` is the time to take parts over, in seconds."""
+
+    unread: int
+    wait: float
+    move: float
+    score: float
+
+
+def _weigh(prompt, instance, cached, source, loads, now, engine):
+    move = 0.0
+    held = cached
+    if source is not None:
+        held = source[1]
+        move = estimate_move(held - cached, source[0].zone != instance.zone, engine)
+    unread = max(1, prompt.tokens - held)
+    wait = loads.estimate_wait(instance.id, unread, now) + move
+    reread = max(0, unread - prompt.own)
+    price = _REREAD_WEIGHT * reread / loads.rate + _MOVE_WEIGHT * move
+    return _Option(unread, wait, move, wait + price)
+
+
+def find_holders(prompt, instances, loads, now, engine):
+    """Return (instance, tokens held), the most first, where parts can be moved.
+
+    Nothing is assumed here: what is taken from an instance must be known.
+    """
+    if engine is None or engine.link_rate <= 0.0:
+        return []
+    rows = [(row, count_cached(prompt, row, False, loads, now)) for row in instances]
+    rows = [row for row in rows if row[1] > 0]
+    return sorted(rows, key=lambda row: row[1], reverse=True)[:_MOST_HOLDERS]
+
+
+def pick_source(instance, cached, holders):
+    """Return the (instance, tokens) to take parts from, or None to read them.
+
+    Of those that hold most, one in the same failure domain goes first.
+    """
+    better = [row for row in holders if row[1] > cached + _LEAST_MOVE]
+    if not better:
+        return None
+    most = better[0][1]
+    return max(better, key=lambda row: (row[1] == most, row[0].zone == instance.zone))
+
+
+def estimate_move(tokens, remote, engine):
+    """Return seconds to take cached tokens over, twice as long between domains."""
+    seconds = tokens * engine.token_bytes / engine.link_rate
+    return _MOVE_BASE + seconds * (2.0 if remote else 1.0)
 
 
-def count_uncached(prompt, instance, is_home, loads, now):
-    """Return the prompt tokens that the instance probably has to read."""
-    if not prompt.parts:
-        return prompt.tokens
+def count_cached(prompt, instance, is_home, loads, now):
+    """Return the leading shared tokens that the instance probably holds."""
     assumed = is_home and not loads.is_listed(instance.id)
-    left = prompt.tokens
+    held = 0
     for part in prompt.parts[:-1]:
         if not assumed and not loads.is_cached(part.id, instance.id, now):
             break
-        left -= part.tokens
-    return max(1, left)
+        held += part.tokens
+    return held
 
 
 def choose_instance(instances, loads, zone, now, rng):
--- a/packages/valeweir_gateway/src/valeweir_gateway/prompts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/prompts.py
@@ -22,6 +22,11 @@
         """Return the id of the last shared part, or "" where none is shared."""
         return self.parts[-2].id if len(self.parts) > 1 else ""
 
+    @property
+    def own(self):
+        """Return the tokens that no other request shares."""
+        return self.parts[-1].tokens if self.parts else self.tokens
+
     @property
     def cost(self):
         """Return the tokens charged to the account: an output token counts twice."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -47,6 +47,7 @@
         version=job.catalog.version,
         upstream=choice.instance.id,
         reason=choice.reason,
+        source=choice.source.id if choice.source else None,
         expected_ms=to_milliseconds(choice.wait),
         unread=choice.tokens,
         ahead=work.ahead,
