--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -291,6 +291,7 @@
             list(reads),
             sorted(state.members.get_silent_domains(now)),
             self._pick_members(now) if with_members else [],
+            state.members.own.capacity,
         )
 
     def _pick_members(self, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/members.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/members.py
@@ -14,11 +14,15 @@
 
 
 class Member(NamedTuple):
-    """A gateway that exists or once did; ``address`` takes its reports."""
+    """A gateway that exists or once did.
+
+    ``address`` takes its reports; ``capacity`` is its processor in cores.
+    """
 
     host: str
     domain: str
     address: str
+    capacity: float = 1.0
 
 
 class Peer(NamedTuple):
@@ -92,7 +96,8 @@
             if old is not None and not _is_later(report, old, now):
                 return None
             peer = self.peers[report.host] = Peer(address, report, now)
-            self._put(Member(report.host, report.domain, address))
+            member = Member(report.host, report.domain, address, report.capacity)
+            self._put(member)
             self._tried.pop(report.host, None)
             return peer
 
@@ -167,4 +172,5 @@
 
 
 def _get_rank(member):
-    return xxhash.xxh64_intdigest(member.host.encode())
+    """Rank the larger hosts first: relays have more to do than others."""
+    return (-member.capacity, xxhash.xxh64_intdigest(member.host.encode()))
--- a/packages/valeweir_gateway/src/valeweir_gateway/publishing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/publishing.py
@@ -30,7 +30,8 @@
         """Publish, with pauses that double, until done or ``stopped``."""
         pause = _FIRST_PAUSE
         cfg = self._state.cfg
-        record = f"{cfg.domain} {self._address}"
+        capacity = cfg.processor.capacity
+        record = f"{cfg.domain} {self._address} {capacity:g}"
         while not stopped.is_set():
             try:
                 self._store.put(self._topic, cfg.host, record.encode())
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -43,7 +43,7 @@
     tokens asked and begun within the window. ``reads`` lists (instance digest,
     part digest) of prompt parts that an instance reads for the first time.
     ``silent`` names failure domains that the sender's relays hear nothing of.
-    ``members`` are rows of host, failure domain and address.
+    ``members`` are rows of host, failure domain, address and capacity.
     """
 
     version: int
@@ -61,7 +61,8 @@
     usage: dict[int, tuple[int, int]] = {}
     reads: list[tuple[int, int]] = []
     silent: list[str] = []
-    members: list[tuple[str, str, str]] = []
+    members: list[tuple[str, str, str, float]] = []
+    capacity: float = 1.0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -53,6 +53,18 @@
     mode: str = "fleet"
 
 
+class Processor(msgspec.Struct, frozen=True):
+    """What this host may use: a part of a core, and how many there are."""
+
+    share: float = 1.0
+    cores: float = 1.0
+
+    @property
+    def capacity(self):
+        """Return the processor in cores."""
+        return self.share * self.cores
+
+
 class Streams(msgspec.Struct, frozen=True):
     """How streams are passed on.
 
@@ -75,6 +87,7 @@
     stop: Stop = Stop()
     sharing: Sharing = Sharing()
     streams: Streams = Streams()
+    processor: Processor = Processor()
     threads: int = 400
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -49,7 +49,9 @@
         self.goals = RecentGoals()
         self.pressure = Pressure(log)
         self.domains = Domains(cfg.domain)
-        self.members = Members(Member(cfg.host, cfg.domain, cfg.listen.reports))
+        self.members = Members(
+            Member(cfg.host, cfg.domain, cfg.listen.reports, cfg.processor.capacity)
+        )
         self._store_heard = {}
         self.usage = UsageWindow(cfg.sharing.window)
         self.shares = Shares(self.usage, cfg.sharing)
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -59,11 +59,13 @@
         """Take in a record of the members topic: where a gateway listens."""
         if entry.value is None:
             return
-        domain, _, address = entry.value.decode("latin-1").rpartition(" ")
-        if not domain:
-            self._note_bad(entry.key, entry.offset, "no failure domain")
+        try:
+            domain, address, capacity = entry.value.decode("latin-1").split(" ")
+            member = Member(entry.key, domain, address, float(capacity))
+        except ValueError as exc:
+            self._note_bad(entry.key, entry.offset, exc)
             return
-        self._state.members.add(Member(entry.key, domain, address))
+        self._state.members.add(member)
 
     def note_directory(self, offset):
         """Note that every instance known before ``offset`` has been taken in."""
