--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -1,10 +1,12 @@
 """Whether a model request goes out now or is told when to come back."""
 
+from .pressure import Level
 from .refusals import Refusal
 
 _GOAL_PART = 0.65
 _AHEAD_PART = 0.2
 _LEAST_RETRY = 0.3
+_ELSEWHERE_RETRY = 0.1
 _RETURNED_PART = 0.97
 _RETURNED_FACTOR = 0.9
 _RETRY_PART = 1 / 3
@@ -31,6 +33,21 @@
     return Refusal(503, "engines-busy", retry_after=retry_after, inputs=inputs)
 
 
+def decide_by_pressure(state, job, now):
+    """Return None, or the `Refusal` where this gateway's processor lags.
+
+    Who has had more than its share goes first. Another gateway may have time,
+    and a client that comes back reaches another one.
+    """
+    level = state.pressure.level
+    if level is Level.NONE or is_returned(job):
+        return None
+    if level is Level.HIGH and get_factor(state, job, now) >= 1.0:
+        return None
+    inputs = {"lag_ms": round(state.pressure.lag * 1000), "level": level.name.lower()}
+    return Refusal(503, "overloaded", retry_after=_ELSEWHERE_RETRY, inputs=inputs)
+
+
 def describe(state, choice, limit, now):
     """Return what decided, for the log; times in milliseconds."""
     load = state.loads.get(choice.instance.id, now)
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -75,7 +75,7 @@
         due = self._state.clock() + interval
         while not stopped.wait(interval):
             now = self._state.clock()
-            self._state.pressure.note(now - due, now)
+            self._state.pressure.note(now - due)
             self.tick(now)
             interval = max(_TICK, _TICK_PER_LINK * len(self._links))
             due = self._state.clock() + interval
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -74,6 +74,11 @@
 def _serve(state, job):
     """Send the request until it is answered; return a `Refusal` or None."""
     _note_asked(state, job)
+    refusal = admission.decide_by_pressure(state, job, job.arrived)
+    if refusal is not None:
+        # Its next request may go elsewhere too.
+        job.reply.close()
+        return refusal
     connects = 0
     while True:
         now = state.clock()
--- a/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
@@ -4,9 +4,22 @@
 which a short wait lasts longer than asked grows with what is queued before it.
 """
 
+from enum import IntEnum
+
 _MEMORY = 0.2
-_HIGH = 0.15
-_LOW = 0.05
+# One long stop, of the host or of a collection, is no queue.
+_LONGEST_COUNTED = 0.12
+_HIGH = 0.03
+_SEVERE = 0.08
+_RELIEVED_PART = 0.6
+
+
+class Level(IntEnum):
+    """How far behind the processor is."""
+
+    NONE = 0
+    HIGH = 1
+    SEVERE = 2
 
 
 class Pressure:
@@ -15,14 +28,27 @@
     def __init__(self, log):
         self._log = log
         self.lag = 0.0
-        self.is_high = False
+        self.level = Level.NONE
 
-    def note(self, late, now):
+    def note(self, late):
         """Take in by how much a wake-up was late."""
-        self.lag += _MEMORY * (max(0.0, late) - self.lag)
-        if self.is_high and self.lag < _LOW:
-            self.is_high = False
-            self._log.note("processor keeps up", lag_ms=round(self.lag * 1000))
-        elif not self.is_high and self.lag > _HIGH:
-            self.is_high = True
-            self._log.note("processor lags", failed=True, lag_ms=round(self.lag * 1000))
+        late = min(_LONGEST_COUNTED, max(0.0, late))
+        self.lag += _MEMORY * (late - self.lag)
+        level = self._get_level()
+        if level != self.level:
+            self.level = level
+            self._log.note(
+                "processor lags" if level else "processor keeps up",
+                failed=bool(level),
+                level=level.name.lower(),
+                lag_ms=round(self.lag * 1000),
+            )
+
+    def _get_level(self):
+        """Return the level; a lower one needs a clearly smaller lag."""
+        for level, limit in ((Level.SEVERE, _SEVERE), (Level.HIGH, _HIGH)):
+            if self.level >= level:
+                limit *= _RELIEVED_PART
+            if self.lag > limit:
+                return level
+        return Level.NONE
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -2,7 +2,7 @@
 from types import SimpleNamespace
 
 from valeweir.exceptions import PlatformUnavailable
-from valeweir_gateway.admission import decide
+from valeweir_gateway.admission import decide, decide_by_pressure
 from valeweir_gateway.caches import CacheScout
 from valeweir_gateway.catalog import (
     Account,
@@ -19,6 +19,7 @@
 from valeweir_gateway.loads import Loads
 from valeweir_gateway.members import Member, Members
 from valeweir_gateway.placement import Choice
+from valeweir_gateway.pressure import Level, Pressure
 from valeweir_gateway.reports import get_digest
 from valeweir_gateway.settings import Sharing
 from valeweir_gateway.shares import Shares
@@ -52,6 +53,7 @@
         loads=Loads(),
         goals=RecentGoals(),
         members=Members(Member("a", "x", "127.0.0.1:9")),
+        pressure=Pressure(RecordingLog()),
         shares=Shares(UsageWindow(4.0), Sharing()),
         log=RecordingLog(),
         clock=lambda: NOW,
@@ -115,6 +117,67 @@
         self.assertIsNone(self.decide(0.4, allowed=8.0))
 
 
+class TestPressure(unittest.TestCase):
+    def setUp(self):
+        self.state = make_state()
+        self.pressure = self.state.pressure
+
+    def lag(self, seconds, times=60):
+        for _ in range(times):
+            self.pressure.note(seconds)
+
+    def is_refused(self, allowed=10.0):
+        catalog = self.state.catalog
+        job = SimpleNamespace(
+            route=ROUTE,
+            catalog=catalog,
+            account=catalog.accounts["one"],
+            allowed=allowed,
+        )
+        return decide_by_pressure(self.state, job, NOW) is not None
+
+    def use_up_the_share(self):
+        for account, begun in (("one", True), ("two", False)):
+            for _ in range(20):
+                self.state.shares.note_asked(account, 1_000, NOW)
+                if begun:
+                    self.state.shares.note_begun(account, 1_000, NOW)
+
+    def test_one_late_wake_up_is_nothing(self):
+        self.lag(0.2, times=1)
+        self.assertIs(self.pressure.level, Level.NONE)
+        self.assertFalse(self.is_refused())
+
+    def test_some_lag_refuses_who_has_had_its_share(self):
+        self.lag(0.06)
+        self.assertIs(self.pressure.level, Level.HIGH)
+        self.assertFalse(self.is_refused())
+        self.use_up_the_share()
+        self.state.shares._at = -1.0
+        self.assertTrue(self.is_refused())
+
+    def test_much_lag_refuses_all_but_who_came_back(self):
+        self.lag(0.5)
+        self.assertTrue(self.is_refused())
+        self.assertFalse(self.is_refused(allowed=8.0))
+
+    def test_relief(self):
+        self.lag(0.5)
+        self.lag(0.04)
+        self.assertIs(self.pressure.level, Level.HIGH)
+        self.lag(0.0)
+        self.assertIs(self.pressure.level, Level.NONE)
+        self.assertEqual(
+            self.pressure._log.events,
+            [
+                "processor lags",
+                "processor lags",
+                "processor lags",
+                "processor keeps up",
+            ],
+        )
+
+
 class TestRecentGoals(unittest.TestCase):
     def test_goals_out_of_use_do_not_count(self):
         goals = RecentGoals()
