--- a/packages/valeweir_gateway/src/valeweir_gateway/placement.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement.py
@@ -7,7 +7,7 @@
 _REREAD_WEIGHT = 3.5
 _RANK_WAIT = 0.005
 # Against the price of reading the same tokens anew.
-_MOVE_WEIGHT = 8.0
+_MOVE_WEIGHT = 16.0
 _MOVE_BASE = 0.005
 _LEAST_MOVE = 500
 _MOST_HOLDERS = 4
