--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -34,17 +34,21 @@
 
 
 def decide_by_pressure(state, job, now):
-    """Return None, or the `Refusal` where this gateway's processor lags.
+    """Return None, or the `Refusal` where this gateway does not keep up.
 
     Who has had more than its share goes first. Another gateway may have time,
     and a client that comes back reaches another one.
     """
-    level = state.pressure.level
+    level = state.get_pressure()
     if level is Level.NONE or is_returned(job):
         return None
     if level is Level.HIGH and get_factor(state, job, now) >= 1.0:
         return None
-    inputs = {"lag_ms": round(state.pressure.lag * 1000), "level": level.name.lower()}
+    inputs = {
+        "lag_ms": round(state.pressure.lag * 1000),
+        "inflight": state.inflight,
+        "level": level.name.lower(),
+    }
     return Refusal(503, "overloaded", retry_after=_ELSEWHERE_RETRY, inputs=inputs)
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/checking.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/checking.py
@@ -11,8 +11,6 @@
 
 def check(state, job):
     """Fill in the job; return a `Refusal` for what cannot be served."""
-    if state.refusing:
-        return Refusal(503, "stopping", retry_after=_ELSEWHERE_RETRY)
     if job.catalog is None:
         return Refusal(503, "not-ready", retry_after=_UNREADY_RETRY)
     headers = job.request.headers
@@ -27,6 +25,8 @@
             return Refusal(401, "unknown-key")
     job.allowed = _get_time_allowed(state, job)
     job.deadline = job.arrived + job.allowed
+    if state.refusing and not _ends_in_time(state, job):
+        return Refusal(503, "stopping", retry_after=_ELSEWHERE_RETRY)
     job.service = _choose_service(state, job.route)
     job.last_event_id = headers.get(state.incoming.last_event_id)
     if job.route.kind is RouteKind.STREAM:
@@ -48,6 +48,15 @@
     return max(0.0, allowed - ANSWER_MARGIN)
 
 
+def _ends_in_time(state, job):
+    """Return whether a planned stop surely leaves the request its time.
+
+    A stream may go on for as long as its client lets it; a call ends by its
+    deadline.
+    """
+    return job.route.kind is not RouteKind.STREAM and job.deadline < state.stop_end
+
+
 def _choose_service(state, route):
     if len(route.targets) == 1:
         return route.targets[0].service
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -102,6 +102,7 @@
         # Until the balancer has noticed, new connections still come.
         self._wait(min(end, started + stop.balancer_wait), lambda: False)
         # A stream taken any later might outlast the grace.
+        state.stop_end = end - _GRACE_MARGIN
         state.refusing = True
         self._wait(min(end, time.monotonic() + _LAST_WAIT), lambda: False)
         self._wait(end, lambda: state.inflight == 0)
--- a/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
@@ -1,4 +1,4 @@
-"""Whether this gateway's processor keeps up.
+"""Whether this gateway keeps up: its processor, and its threads.
 
 A thread that wants to run and has to wait for others shows it: the time by
 which a short wait lasts longer than asked grows with what is queued before it.
@@ -11,6 +11,8 @@
 _LONGEST_COUNTED = 0.12
 _HIGH = 0.03
 _SEVERE = 0.08
+_HIGH_PART = 0.7
+_SEVERE_PART = 0.85
 _RELIEVED_PART = 0.6
 
 
@@ -22,6 +24,18 @@
     SEVERE = 2
 
 
+def get_occupancy_level(inflight, threads):
+    """Return the level of a gateway whose threads are nearly all taken.
+
+    Some are left for telling clients to go elsewhere at once.
+    """
+    if inflight > _SEVERE_PART * threads:
+        return Level.SEVERE
+    if inflight > _HIGH_PART * threads:
+        return Level.HIGH
+    return Level.NONE
+
+
 class Pressure:
     """A moving mean of how late a periodic thread wakes, in seconds."""
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -5,6 +5,12 @@
 import msgspec
 from valeweir.exceptions import SettingsError
 
+# Measured: 41 MB with nothing under way, 97 to 150 MB with 400 requests.
+_BASE_MB = 60.0
+_THREAD_MB = 0.2
+_LEAST_THREADS = 64
+_MOST_THREADS = 1_200
+
 
 class Listen(msgspec.Struct, frozen=True):
     """Addresses, each ``IP:PORT``.
@@ -65,6 +71,12 @@
         return self.share * self.cores
 
 
+class Memory(msgspec.Struct, frozen=True):
+    """What this process may use, in megabytes."""
+
+    limit_mb: float = 256.0
+
+
 class Streams(msgspec.Struct, frozen=True):
     """How streams are passed on.
 
@@ -88,7 +100,13 @@
     sharing: Sharing = Sharing()
     streams: Streams = Streams()
     processor: Processor = Processor()
-    threads: int = 400
+    memory: Memory = Memory()
+
+    @property
+    def threads(self):
+        """Return how many requests may be under way, each in a thread."""
+        room = (self.memory.limit_mb - _BASE_MB) / _THREAD_MB
+        return int(min(_MOST_THREADS, max(_LEAST_THREADS, room)))
 
 
 def load_settings(path):
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -12,7 +12,7 @@
 from .loads import Loads, Reads
 from .members import Member, Members
 from .metrics import GatewayMetrics
-from .pressure import Pressure
+from .pressure import Pressure, get_occupancy_level
 from .retries import RetryBudget
 from .shares import Shares
 from .usage import UsageWindow
@@ -60,6 +60,7 @@
         self.retries = RetryBudget(retries.ratio, retries.slack, retries.window)
         self.stopping = False
         self.refusing = False
+        self.stop_end = 0.0
         self._inflight = 0
         self._lock = threading.Lock()
         self.reserved_headers = frozenset(
@@ -80,6 +81,11 @@
         """Return how many requests are read and not answered."""
         return self._inflight
 
+    def get_pressure(self):
+        """Return the `pressure.Level` of this gateway."""
+        occupancy = get_occupancy_level(self._inflight, self.cfg.threads)
+        return max(self.pressure.level, occupancy)
+
     def is_ready(self):
         """Return whether the balancer should send clients here."""
         return self.catalog is not None and self.directory_known and not self.stopping
