--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -7,6 +7,7 @@
 _AHEAD_PART = 0.2
 _LEAST_RETRY = 0.3
 _ELSEWHERE_RETRY = 0.1
+_CAPPED_RETRY = 1.0
 _RETURNED_PART = 0.97
 _RETURNED_FACTOR = 0.9
 _RETRY_PART = 1 / 3
@@ -20,6 +21,9 @@
     earlier still where its account has had more than its share.
     """
     goal = state.goals.note(job.service, job.route.goal, now)
+    if _is_capped(state, job, now):
+        inputs = {"share_level": state.shares.get_level()}
+        return Refusal(503, "beyond-share", retry_after=_CAPPED_RETRY, inputs=inputs)
     allowed = goal * get_factor(state, job, now)
     # A prompt too long for its goal gains nothing by coming back; it goes out
     # where little is ahead of it.
@@ -69,6 +73,13 @@
     }
 
 
+def _is_capped(state, job, now):
+    if job.account is None:
+        return False
+    rate = job.catalog.limits.tokens_per_second
+    return state.shares.is_capped(job.account.name, rate, now)
+
+
 def get_factor(state, job, now):
     """Return the part of the goal that the request may wait."""
     if job.account is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -11,6 +11,12 @@
 _GREATEST_FACTOR = 1.4
 _STEEPNESS = 3.0
 _SMALL_PART = 0.5
+# An account gets less than its due by more than this part, and by more than
+# some of the largest requests, before others are held back for it.
+_STARVED_PART = 0.6
+_TOLERATED_REQUESTS = 3
+_MOST_TIMES_LEAST = 1.7
+_LEAST_CAP_PART = 0.6
 
 
 class Shares:
@@ -30,9 +36,12 @@
         self._level = float("inf")
         self._amounts = {}
         self._remote = {}
+        self._largest = 0
+        self._cap = float("inf")
 
     def note_asked(self, account, cost, now):
         """Count the tokens of a request that has come."""
+        self._largest = max(self._largest, cost)
         self._usage.add(get_digest(account), cost, 0, now)
 
     def note_begun(self, account, cost, now):
@@ -58,6 +67,17 @@
             standing = amount.begun / self._level if amount else 0.0
             return compute_factor(standing)
 
+    def is_capped(self, account, tokens_per_second, now):
+        """Return whether the account has to wait for one that is starved.
+
+        Elsewhere capacity may idle meanwhile: the gap between two accounts with
+        work waiting is bounded also where one of them meets a crowded gateway.
+        """
+        with self._lock:
+            self._refresh(tokens_per_second, now)
+            amount = self._amounts.get(get_digest(account))
+            return amount is not None and amount.begun > self._cap
+
     def get_level(self):
         """Return the level in tokens a window, None where all have what they ask."""
         return None if self._level == float("inf") else round(self._level)
@@ -73,6 +93,20 @@
         capacity = max(begun, tokens_per_second * self._window)
         asked = [amount.asked for amount in self._amounts.values()]
         self._level = compute_level(asked, capacity)
+        slack = _TOLERATED_REQUESTS * self._largest
+        self._cap = compute_cap(self._amounts.values(), self._level, slack)
+
+
+def compute_cap(amounts, level, slack):
+    """Return the tokens that no account may exceed, infinite if none is starved."""
+    starved = [
+        amount.begun
+        for amount in amounts
+        if amount.begun + slack < _STARVED_PART * min(amount.asked, level)
+    ]
+    if not starved or level == float("inf"):
+        return float("inf")
+    return max(_MOST_TIMES_LEAST * min(starved), _LEAST_CAP_PART * level)
 
 
 def compute_factor(standing):
--- a/packages/valeweir_gateway/tests/test_sharing.py
+++ b/packages/valeweir_gateway/tests/test_sharing.py
@@ -4,9 +4,9 @@
 from hypothesis import strategies as st
 from valeweir_gateway.reports import get_digest
 from valeweir_gateway.settings import Sharing
-from valeweir_gateway.shares import Shares, compute_factor
+from valeweir_gateway.shares import Shares, compute_cap, compute_factor
 from valeweir_gateway.sums import Totals
-from valeweir_gateway.usage import UsageWindow, compute_level
+from valeweir_gateway.usage import Amount, UsageWindow, compute_level
 
 PAIRS = st.tuples(st.integers(0, 99), st.integers(0, 99))
 AMOUNTS = st.lists(st.floats(0.0, 1e6), min_size=1, max_size=30)
@@ -132,6 +132,33 @@
         self.shares.set_remote({})
         self.assertEqual(self.shares.get_factor("big", 0, 1.3), 1.4)
 
+    def test_nobody_goes_far_ahead_of_one_that_is_starved(self):
+        shares = self.shares
+        for _ in range(60):
+            note(shares, "hog", 100, True, 1.0)
+            note(shares, "starved", 100, False, 1.0)
+        note(shares, "starved", 100, True, 1.0)
+        note(shares, "small", 100, True, 1.0)
+        self.assertTrue(shares.is_capped("hog", 0, 1.1))
+        self.assertFalse(shares.is_capped("starved", 0, 1.1))
+        self.assertFalse(shares.is_capped("small", 0, 1.1))
+
+    def test_nobody_is_held_back_while_all_get_their_due(self):
+        shares = self.shares
+        for _ in range(60):
+            note(shares, "hog", 100, True, 1.0)
+            note(shares, "other", 100, True, 1.0)
+            note(shares, "other", 100, False, 1.0)
+        self.assertFalse(shares.is_capped("hog", 0, 1.1))
+
+    @given(st.lists(st.tuples(st.integers(0, 9_999), st.integers(0, 9_999))))
+    def test_cap_leaves_everybody_a_part_of_the_level(self, rows):
+        amounts = [Amount(asked + begun, begun) for asked, begun in rows]
+        begun = sum(amount.begun for amount in amounts)
+        level = compute_level([amount.asked for amount in amounts], begun)
+        cap = compute_cap(amounts, level, 0)
+        self.assertGreaterEqual(cap, min(level, 0.6 * level))
+
     def test_factor_falls_with_the_part_used_up(self):
         cases = [(0.0, 1.4), (0.5, 1.4), (0.75, 1.2), (1.0, 1.0), (1.1, 0.7), (9, 0.25)]
         for standing, factor in cases:
