--- a/packages/valeweir_cli/src/valeweir_cli/bench.py
+++ b/packages/valeweir_cli/src/valeweir_cli/bench.py
@@ -7,6 +7,7 @@
 from valeweir_standins.deployments import get_deployment
 from valeweir_standins.experiments import Setup, run_experiment
 from valeweir_standins.paths import measure_path
+from valeweir_standins.reporting import measure_reports
 from valeweir_standins.scenarios import SCENARIOS
 from valeweir_standins.slopes import Size, measure
 
@@ -89,6 +90,17 @@
         click.echo(f"{name:30} {value}")
 
 
+@bench.command()
+@click.option("--gateways", default=59, show_default=True)
+@click.option("--domains", default=3, show_default=True)
+@click.option("--engines", default=70, show_default=True)
+@click.option("--accounts", default=30, show_default=True)
+def reports(**size):
+    """Measure what gateways' reports cost one of them, by the fleet's size."""
+    for name, value in measure_reports(**size)._asdict().items():
+        click.echo(f"{name:20} {value:.1f}")
+
+
 @click.command()
 @click.option("--seconds", default=30.0, show_default=True)
 @click.option("--deployment", type=click.Choice(["hooghly", "kat"]), default="hooghly")
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -139,6 +139,10 @@
                 if link.role in roles and host != report.host:
                     link.reads.extend(report.reads)
 
+    def count_links(self):
+        """Return how many gateways this one reports to."""
+        return len(self._links)
+
     def tick(self, now):
         """Send what is due and take in the sums of what was reported."""
         state = self._state
--- /dev/null
+++ b/packages/valeweir_standins/src/valeweir_standins/reporting.py
@@ -0,0 +1,73 @@
+"""What the exchange of reports costs a gateway, by the size of the fleet."""
+
+import random
+import time
+from typing import NamedTuple
+
+from valeweir_gateway.directory import Instance
+
+from .wires import TICK, Wire
+
+_WARM_SECONDS = 2.0
+_TOKENS = 3_700
+
+
+class ReportCosts(NamedTuple):
+    """Costs of one gateway; bytes and processor milliseconds are a second's.
+
+    Sent bytes are those of datagrams; the processor's time holds receiving.
+    """
+
+    gateways: int
+    relays: int
+    bytes_mean: float
+    bytes_relay: float
+    links_most: int
+    processor_mean_ms: float
+
+
+def measure_reports(gateways, domains, engines, accounts, seconds=2.0, seed=1):
+    """Return the `ReportCosts` of a fleet in which every gateway has news.
+
+    Parameters
+    ----------
+    engines, accounts : int
+        Of the whole fleet; each gateway uses eight of both at a time.
+    """
+    rng = random.Random(seed)
+    wire = Wire(domains, gateways)
+    wire.introduce()
+    names = [f"engine-{number}" for number in range(engines)]
+    for state in wire.states.values():
+        for name in names:
+            state.directory.put(Instance(name, "llm", f"{name}:1", "d0", 16, True))
+    wire.run(_WARM_SECONDS)
+    for fleet in wire.fleets.values():
+        fleet.sent_bytes = 0
+    started = time.process_time()
+    for _ in range(round(seconds / TICK)):
+        _work(wire, rng, names, accounts)
+        wire.run(TICK)
+    spent = time.process_time() - started
+    return _sum_up(wire, seconds, spent)
+
+
+def _work(wire, rng, names, accounts):
+    for state in wire.states.values():
+        work = state.loads.start(rng.choice(names), _TOKENS, wire.now)
+        state.loads.note_progress(work, wire.now + rng.uniform(0.0, TICK))
+        state.shares.note_asked(f"account-{rng.randrange(accounts)}", 10, wire.now)
+
+
+def _sum_up(wire, seconds, spent):
+    fleets = list(wire.fleets.values())
+    relays = [fleet for fleet in fleets if fleet.plan.is_relay]
+    rates = [fleet.sent_bytes / seconds for fleet in fleets]
+    return ReportCosts(
+        len(fleets),
+        len(relays),
+        sum(rates) / len(rates),
+        max(fleet.sent_bytes / seconds for fleet in relays),
+        max(fleet.count_links() for fleet in fleets),
+        1000.0 * spent / seconds / len(fleets),
+    )
--- /dev/null
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -0,0 +1,88 @@
+"""Gateways' exchanges of reports over a wire in memory, on a clock of its own."""
+
+from types import SimpleNamespace
+
+from valeweir_gateway.directory import Directory
+from valeweir_gateway.fleet import Fleet
+from valeweir_gateway.loads import Loads, Reads
+from valeweir_gateway.members import Member, Members
+from valeweir_gateway.retries import RetryBudget
+from valeweir_gateway.settings import Sharing
+from valeweir_gateway.shares import Shares
+from valeweir_gateway.usage import UsageWindow
+
+TICK = 0.05
+_WINDOW = 4.0
+
+
+class Wire:
+    """Exchanges joined by datagrams that arrive at once, or not at all.
+
+    ``down`` holds addresses that neither send nor hear; ``is_cut`` is called
+    with the addresses of sender and receiver.
+    """
+
+    def __init__(self, domains, size):
+        self.now = 0.0
+        self.down = set()
+        self.is_cut = lambda sender, target: False
+        self.fleets = {}
+        self.states = {}
+        for number in range(size):
+            address = f"10.{number // 200}.{number % 200}.1:7400"
+            self._add(f"h{number}", f"d{number % domains}", address)
+
+    def introduce(self):
+        """Let everybody know of everybody, as the store does."""
+        for state in self.states.values():
+            for other in self.states.values():
+                state.members.add(other.members.own)
+
+    def run(self, seconds):
+        """Let the exchanges tick for some seconds."""
+        for _ in range(round(seconds / TICK)):
+            self.now += TICK
+            for address, fleet in self.fleets.items():
+                if address not in self.down:
+                    fleet.tick(self.now)
+
+    def see(self, host, instance):
+        """Return the unread tokens that a gateway takes the fleet to have sent."""
+        load = self.states[host].loads.get(instance, self.now)
+        return load.unread + load.remote_unread
+
+    def _add(self, host, domain, address):
+        state = make_state(Member(host, domain, address), lambda: self.now)
+        sock = SimpleNamespace(
+            sendto=lambda data, to: self._deliver(address, f"{to[0]}:{to[1]}", data)
+        )
+        self.fleets[address] = Fleet(state, address, sock, number=1, seed=1)
+        self.states[host] = state
+
+    def _deliver(self, sender, target, data):
+        lost = {sender, target} & self.down or self.is_cut(sender, target)
+        if target in self.fleets and not lost:
+            host, _, port = sender.rpartition(":")
+            self.fleets[target].receive(data, (host, int(port)))
+
+
+def make_state(member, clock):
+    """Return as much of a gateway's state as its exchange needs."""
+    usage = UsageWindow(_WINDOW)
+    return SimpleNamespace(
+        cfg=SimpleNamespace(host=member.host, domain=member.domain),
+        clock=clock,
+        catalog=None,
+        directory=Directory(),
+        directory_offset=0,
+        get_store_age=lambda now: 0.0,
+        loads=Loads(),
+        log=SimpleNamespace(note=lambda *args, **fields: None),
+        members=Members(member),
+        members_known=True,
+        reads=Reads(),
+        retries=RetryBudget(0.2, 58, 10.0),
+        shares=Shares(usage, Sharing(window=_WINDOW)),
+        stopping=False,
+        usage=usage,
+    )
