--- a/packages/valeweir_gateway/src/valeweir_gateway/duties.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/duties.py
@@ -13,6 +13,7 @@
 _MEMBERS_WAIT = 1.0
 _VIEW_WAIT = 2.0
 _MEMBERS_FOLLOWED = 5.0
+_OWN_READING = 5.0
 
 
 class StoreDuty:
@@ -23,6 +24,7 @@
         self._get_plan = get_plan
         self._reads = None
         self._started = state.clock()
+        self._own_until = 0.0
 
     def reads_store(self):
         """Return whether this gateway reads the store now."""
@@ -32,6 +34,10 @@
             self._state.log.note("store duty", reads=reads)
         return reads
 
+    def note_behind(self, now):
+        """Read the store for a while: peers know more and do not tell it."""
+        self._own_until = now + _OWN_READING
+
     def reads_members(self):
         """Return whether this gateway still reads who else there is.
 
@@ -57,7 +63,7 @@
             return False
         if len(state.members) <= MESH_LIMIT:
             return True
-        if plan.is_relay and self._is_first(now):
+        if plan.is_relay and self._is_first(now) or now < self._own_until:
             return True
         age = state.get_peers_store_age(now)
         if age is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -59,7 +59,7 @@
             self._followers.catalog,
             self._followers.instances,
             int(listen.fleet.rpartition(":")[2]),
-            duty.reads_store,
+            duty,
         )
         self._scout = CacheScout(state, adapter.list_parts)
         self._metrics = _create_metrics_server(state, self._update_gauges)
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -17,7 +17,8 @@
 _CHECK = 0.06
 _READERS_CHECK = 0.15
 _PATIENCE = 0.25
-_TIMEOUT = 1.0
+_TIMEOUT = 0.5
+_LONGEST_BEHIND = 0.6
 
 
 class TopicView(msgspec.Struct, array_like=True, frozen=True):
@@ -77,16 +78,16 @@
     catalog, instances : stores.TopicFollower
     port : int
         Port of the fleet's HTTP interface, the same at every gateway.
-    reads_store : callable
-        Returns whether this gateway reads the store itself.
+    duty : duties.StoreDuty
+        Told when peers do not give their view in time.
     """
 
-    def __init__(self, state, catalog, instances, port, reads_store):
+    def __init__(self, state, catalog, instances, port, duty):
         self._state = state
         self._catalog = catalog
         self._instances = instances
         self._port = port
-        self._reads_store = reads_store
+        self._duty = duty
         self._behind_since = None
         self._pool = urllib3.PoolManager(num_pools=8, maxsize=1, retries=False)
 
@@ -125,21 +126,34 @@
         return True
 
     def _run(self, stopped):
-        while not stopped.wait(_READERS_CHECK if self._reads_store() else _CHECK):
-            now = time.monotonic()
-            peer = self.find_newer(now)
-            if peer is None:
-                self._behind_since = None
-                continue
-            if self._behind_since is None:
-                self._behind_since = now
-            # The store's own answer is usually a moment away.
-            patience = _PATIENCE if self._reads_store() else 0.0
-            if now - self._behind_since < patience:
-                continue
-            taken = self.fetch(peer)
-            self._state.log.note(
-                "view from peer", failed=not taken, peer=peer.host, taken=taken
-            )
-            if not taken:
-                stopped.wait(_PATIENCE)
+        interval = _CHECK
+        while not stopped.wait(interval):
+            taken = self.catch_up(time.monotonic())
+            if taken is False:
+                interval = _PATIENCE
+            else:
+                interval = _READERS_CHECK if self._duty.reads_store() else _CHECK
+
+    def catch_up(self, now):
+        """Take a newer view where there is one; return whether it could be had.
+
+        None where nothing was tried.
+        """
+        peer = self.find_newer(now)
+        if peer is None:
+            self._behind_since = None
+            return None
+        if self._behind_since is None:
+            self._behind_since = now
+        behind = now - self._behind_since
+        if behind > _LONGEST_BEHIND:
+            self._duty.note_behind(now)
+        # The store's own answer is usually a moment away.
+        patience = _PATIENCE if self._duty.reads_store() else 0.0
+        if behind < patience:
+            return None
+        taken = self.fetch(peer)
+        self._state.log.note(
+            "view from peer", failed=not taken, peer=peer.host, taken=taken
+        )
+        return taken
--- a/packages/valeweir_gateway/tests/test_fleet.py
+++ b/packages/valeweir_gateway/tests/test_fleet.py
@@ -19,6 +19,7 @@
 from valeweir_gateway.retries import RetryBudget
 from valeweir_gateway.stores import Batch, Entry, Listing, TopicFollower
 from valeweir_gateway.syncing import (
+    ViewSync,
     adopt_view,
     decode_view,
     encode_view,
@@ -374,6 +375,41 @@
             self.assertEqual(duty.get_poll(), 5.0)
 
 
+class TestViewSync(unittest.TestCase):
+    def setUp(self):
+        self.wire = make_wire(3, 40)
+        self.wire.introduce()
+        self.wire.run(2.0)
+        self.fleet = next(f for f in self.wire.fleets.values() if not f.plan.is_relay)
+        state = self.fleet._state
+        state.get_peers_store_age = lambda now: 0.5
+        self.duty = make_duty(self.fleet)
+        follower = SimpleNamespace(end=0)
+        self.sync = ViewSync(state, follower, follower, 1, self.duty)
+        self.sync.fetch = lambda peer: self.can_fetch
+        relay = self.fleet.plan.relay.host
+        self.wire.states[relay].directory_offset = 7
+        self.wire.run(0.5)
+
+    def test_view_of_the_relay_is_taken_at_once(self):
+        self.can_fetch = True
+        self.assertTrue(self.sync.catch_up(self.wire.now))
+        self.assertFalse(self.duty.reads_store())
+
+    def test_a_relay_that_does_not_give_its_view_is_not_waited_for(self):
+        self.can_fetch = False
+        self.assertFalse(self.sync.catch_up(self.wire.now))
+        self.assertFalse(self.duty.reads_store())
+        self.sync.catch_up(self.wire.now + 1.0)
+        self.assertTrue(self.duty.reads_store())
+        self.wire.now += 9.0
+        self.assertFalse(self.duty.reads_store())
+
+    def test_nothing_newer(self):
+        self.fleet._state.directory_offset = 7
+        self.assertIsNone(self.sync.catch_up(self.wire.now))
+
+
 class TestViews(unittest.TestCase):
     def make_follower(self):
         return TopicFollower(
