--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -4,12 +4,12 @@
 newest counts, and a peer behind a cut must hold nobody up.
 """
 
-import collections
 import random
 import socket
 import threading
 import time
 
+from .links import Links
 from .members import Member
 from .relays import make_plan
 from .reports import VERSION, Report, Role, decode_report, encode_report, get_digest
@@ -23,22 +23,7 @@
 _ASK_INTERVAL = 1.0
 _RECEIVE_BYTES = 2_048
 _RECEIVE_TIMEOUT = 0.5
-_READS_A_REPORT = 24
 _MEMBERS_A_REPORT = 10
-_MAX_PENDING_READS = 400
-
-
-class Link:
-    """What one other gateway was told last, and the reads it is not told yet."""
-
-    __slots__ = ("member", "reads", "role", "sent", "sent_at")
-
-    def __init__(self, member, role):
-        self.member = member
-        self.role = role
-        self.sent = None
-        self.sent_at = 0.0
-        self.reads = collections.deque(maxlen=_MAX_PENDING_READS)
 
 
 class Fleet:
@@ -51,8 +36,7 @@
         self._number = number
         self._seq = 0
         self._rng = random.Random(seed)
-        self._links = {}
-        self._lock = threading.Lock()
+        self._links = Links()
         self._asked_at = 0.0
         self._corrected = {}
         self._most = (1, 0.0)
@@ -76,7 +60,7 @@
         while not stopped.wait(interval):
             now = self._state.clock()
             self._state.pressure.note(now - due)
-            self.tick(now)
+            self._guard(self.tick, now)
             interval = max(_TICK, _TICK_PER_LINK * len(self._links))
             due = self._state.clock() + interval
 
@@ -87,7 +71,14 @@
                 data, sender = self._sock.recvfrom(_RECEIVE_BYTES)
             except OSError:
                 continue
-            self.receive(data, sender)
+            self._guard(self.receive, data, sender)
+
+    def _guard(self, action, *args):
+        """Go on after a fault; the next report makes up for this one."""
+        try:
+            action(*args)
+        except Exception as exc:
+            self._state.log.note("report failed", failed=True, why=repr(exc))
 
     def receive(self, data, sender):
         """Take in a datagram from ``sender``, an (IP, port) pair."""
@@ -127,17 +118,7 @@
             instance_id = state.directory.get_id(instance)
             if instance_id is not None:
                 state.loads.note_digest(part, instance_id, now)
-        self._forward_reads(report)
-
-    def _forward_reads(self, report):
-        targets = {Role.UP: (Role.ACROSS, Role.DOWN), Role.ACROSS: (Role.DOWN,)}
-        roles = targets.get(report.role, ())
-        if not report.reads or not roles:
-            return
-        with self._lock:
-            for host, link in self._links.items():
-                if link.role in roles and host != report.host:
-                    link.reads.extend(report.reads)
+        self._links.forward_reads(report)
 
     def count_links(self):
         """Return how many gateways this one reports to."""
@@ -160,8 +141,9 @@
         for report in self._get_sources(plan, now):
             everything.add_report(report)
         self._apply(everything, own, now)
-        self._update_links(plan)
-        for link in list(self._links.values()):
+        self._links.update(plan)
+        self._links.add_reads(state.reads.take())
+        for link in self._links:
             self._serve(link, own, group, everything, children, now)
         if now - self._asked_at >= _ASK_INTERVAL:
             self._asked_at = now
@@ -224,23 +206,6 @@
             self._most = (count, now)
         return self._most[0]
 
-    def _update_links(self, plan):
-        wanted = {row.host: (row, Role.DOWN) for row in plan.group}
-        wanted.update({row.host: (row, Role.ACROSS) for row in plan.fellows})
-        if plan.relay is not None:
-            wanted[plan.relay.host] = (plan.relay, Role.UP)
-        with self._lock:
-            for host in self._links.keys() - wanted.keys():
-                del self._links[host]
-            for host, (member, role) in wanted.items():
-                link = self._links.get(host)
-                if link is None or link.role != role:
-                    link = self._links[host] = Link(member, role)
-                link.member = member
-            reads = self._state.reads.take()
-            for link in self._links.values():
-                link.reads.extend(reads)
-
     def _serve(self, link, own, group, everything, children, now):
         members = self._state.members
         if members.is_suspect(link.member.host, now):
@@ -250,18 +215,15 @@
         if link.role == Role.DOWN and child is not None:
             totals = everything.without(child)
         told = (totals.loads, totals.usage, self._state.stopping)
-        due = now - link.sent_at >= _HEARTBEAT
-        if not due and not link.reads and told == link.sent:
+        due = now - link.told_at >= _HEARTBEAT
+        if not due and not link.reads and told == link.told:
             return
-        link.sent, link.sent_at = told, now
-        reads = [link.reads.popleft() for _ in range(self._count_reads(link))]
+        link.told, link.told_at = told, now
+        reads = link.take_reads()
         report = self._make(link.role, now, totals, reads, with_members=due)
         members.note_tried(link.member.host, now)
         self._send_to(link.member.address, report)
 
-    def _count_reads(self, link):
-        return min(len(link.reads), _READS_A_REPORT)
-
     def _ask(self, plan, now):
         """Ask members that are not heard, and addresses, for a sign of life."""
         members = self._state.members
@@ -269,7 +231,7 @@
         for member in plan.watched:
             members.note_tried(member.host, now)
             self._send_to(member.address, report)
-        for link in list(self._links.values()):
+        for link in self._links:
             if members.is_suspect(link.member.host, now):
                 self._send_to(link.member.address, report)
         for address in members.get_unnamed():
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/links.py
@@ -0,0 +1,74 @@
+"""To whom a gateway reports, and what each was told last."""
+
+import collections
+import threading
+
+from .reports import Role
+
+_MAX_PENDING_READS = 400
+_READS_A_REPORT = 24
+# Reads that a relay hears of go on to those that cannot have heard them.
+_FORWARDED = {Role.UP: (Role.ACROSS, Role.DOWN), Role.ACROSS: (Role.DOWN,)}
+
+
+class Link:
+    """What one other gateway was told last, and the reads it is not told yet."""
+
+    __slots__ = ("member", "reads", "role", "told", "told_at")
+
+    def __init__(self, member, role):
+        self.member = member
+        self.role = role
+        self.told = None
+        self.told_at = 0.0
+        self.reads = collections.deque(maxlen=_MAX_PENDING_READS)
+
+    def take_reads(self):
+        """Return and forget as many reads as one report holds."""
+        count = min(len(self.reads), _READS_A_REPORT)
+        return [self.reads.popleft() for _ in range(count)]
+
+
+class Links:
+    """The links of a gateway by host; reads arrive from other threads."""
+
+    def __init__(self):
+        self._by_host = {}
+        self._lock = threading.Lock()
+
+    def __len__(self):
+        return len(self._by_host)
+
+    def __iter__(self):
+        return iter(list(self._by_host.values()))
+
+    def update(self, plan):
+        """Have a link to everybody whom the plan says to report to."""
+        wanted = {row.host: (row, Role.DOWN) for row in plan.group}
+        wanted.update({row.host: (row, Role.ACROSS) for row in plan.fellows})
+        if plan.relay is not None:
+            wanted[plan.relay.host] = (plan.relay, Role.UP)
+        with self._lock:
+            for host in self._by_host.keys() - wanted.keys():
+                del self._by_host[host]
+            for host, (member, role) in wanted.items():
+                link = self._by_host.get(host)
+                if link is None or link.role != role:
+                    link = self._by_host[host] = Link(member, role)
+                link.member = member
+
+    def add_reads(self, reads):
+        """Note reads of this gateway for everybody."""
+        with self._lock:
+            for link in self._by_host.values():
+                link.reads.extend(reads)
+
+    def forward_reads(self, report):
+        """Note the reads in a report for those that it did not go to."""
+        roles = _FORWARDED.get(report.role, ())
+        if not report.reads or not roles:
+            return
+        with self._lock:
+            for host, link in self._by_host.items():
+                if link.role in roles and host != report.host:
+                    link.reads.extend(report.reads)
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -138,6 +138,12 @@
         except PlatformUnavailable as exc:
             self._set_available(False, str(exc))
             return False
+        except Exception as exc:
+            # A record that nobody foresaw must not end the following of others.
+            self._log.note(
+                "following failed", failed=True, topic=self._topic, why=repr(exc)
+            )
+            return False
         self._pause = _FIRST_PAUSE
         self._set_available(True, "")
         return True
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -128,12 +128,19 @@
     def _run(self, stopped):
         interval = _CHECK
         while not stopped.wait(interval):
-            taken = self.catch_up(time.monotonic())
+            taken = self._try_to_catch_up()
             if taken is False:
                 interval = _PATIENCE
             else:
                 interval = _READERS_CHECK if self._duty.reads_store() else _CHECK
 
+    def _try_to_catch_up(self):
+        try:
+            return self.catch_up(time.monotonic())
+        except Exception as exc:
+            self._state.log.note("view not taken", failed=True, why=repr(exc))
+            return False
+
     def catch_up(self, now):
         """Take a newer view where there is one; return whether it could be had.
 
--- a/packages/valeweir_gateway/tests/test_stores.py
+++ b/packages/valeweir_gateway/tests/test_stores.py
@@ -91,6 +91,16 @@
             self.log.events, ["store regained", "store lost", "store regained"]
         )
 
+    def test_a_fault_nobody_foresaw_ends_nothing(self):
+        self.follow(
+            Listing([Entry("a", b"1", 3)], 4),
+            ValueError("odd"),
+            Batch([Entry("a", b"2", 4)], 5),
+        )
+        self.assertEqual(self.steps, [True, False, True])
+        self.assertEqual(self.get_applied(), [("a", b"1"), ("a", b"2")])
+        self.assertIn("following failed", self.log.events)
+
     def test_dropped_key_may_come_back(self):
         self.follow(
             Listing([Entry("a", b"1", 3)], 4),
