--- a/packages/valeweir/src/valeweir/servers.py
+++ b/packages/valeweir/src/valeweir/servers.py
@@ -19,6 +19,7 @@
 
 _GROW_BY = 32
 _SPARE_THREADS = 8
+_MOST_ACCEPTS = 64
 
 
 class Request(NamedTuple):
@@ -166,6 +167,28 @@
         for name, run in (("serve", self.serve), ("grow", self._grow)):
             threading.Thread(target=run, name=name, daemon=True).start()
 
+    def prepare(self):
+        """Bind; accept all that wait whenever one does.
+
+        cheroot accepts one connection for each turn of its loop. With many
+        threads at work a turn takes tens of milliseconds, and connections
+        would wait until their clients have given up.
+        """
+        super().prepare()
+        manager = self._connections
+        accept_one = manager._from_server_socket
+
+        def accept_waiting(sock):
+            for _ in range(_MOST_ACCEPTS):
+                conn = accept_one(sock)
+                if not _is_readable(sock):
+                    return conn
+                if conn is not None:
+                    self.process_conn(conn)
+            return accept_one(sock)
+
+        manager._from_server_socket = accept_waiting
+
     def prepare_client_socket(self, sock):
         """Set the options of a client's new socket."""
         if self._prepare_socket is not None:
@@ -190,6 +213,12 @@
                 self.requests.grow(max(_GROW_BY, running // 2))
 
 
+def _is_readable(sock):
+    poller = select.poll()
+    poller.register(sock, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 def create_server(
     address,
     handle,
