--- a/packages/valeweir_gateway/src/valeweir_gateway/decisions.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/decisions.py
@@ -14,6 +14,7 @@
 import msgspec
 
 _QUEUE_LINES = 2_000
+_LINES_A_WRITE = 64
 _RATE_PER_SECOND = 60.0
 _BURST = 240.0
 _FAILURE_RATE_PER_SECOND = 60.0
@@ -100,17 +101,28 @@
         self._thread.join(_STOP_WAIT)
 
     def _run(self):
-        while True:
-            line = self._queue.get()
-            if line is None:
-                return
-            if self.left_out != self._told:
-                self._told = self.left_out
-                line["left_out"] = self._told
-            try:
-                self._write(msgspec.json.encode(line, enc_hook=str) + b"\n")
-            except OSError:
-                self.left_out += 1
+        ended = False
+        while not ended:
+            lines = [self._queue.get()]
+            # One write for all that wait: each costs this thread its turn.
+            while len(lines) < _LINES_A_WRITE and not self._queue.empty():
+                lines.append(self._queue.get())
+            ended = None in lines
+            self._write_lines([line for line in lines if line is not None])
+
+    def _write_lines(self, lines):
+        if not lines:
+            return
+        if self.left_out != self._told:
+            self._told = self.left_out
+            lines[0]["left_out"] = self._told
+        data = b"".join(
+            msgspec.json.encode(line, enc_hook=str) + b"\n" for line in lines
+        )
+        try:
+            self._write(data)
+        except OSError:
+            self.left_out += len(lines)
 
 
 def _write_stdout(data):
