--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -37,6 +37,10 @@
 def _handle(state, request, reply):
     job = Job(request, reply, state.catalog, state.clock())
     job.id = request.headers.get(state.incoming.request_id, "")
+    if reply.is_gone():
+        # It has waited too long to be read; work on it would be for nobody.
+        _refuse(state, job, Refusal(499, "client-gone-unread"))
+        return
     refusal = check(state, job)
     if refusal is None:
         refusal = _serve(state, job)
