--- a/packages/valeweir_gateway/src/valeweir_gateway/decisions.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/decisions.py
@@ -19,7 +19,8 @@
 _BURST = 240.0
 _FAILURE_RATE_PER_SECOND = 60.0
 _FAILURE_BURST = 240.0
-_STOP_WAIT = 0.5
+# Less than what a planned stop leaves of its grace.
+_STOP_WAIT = 0.2
 
 
 class _Allowance:
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -39,6 +39,7 @@
     job.id = request.headers.get(state.incoming.request_id, "")
     if reply.is_gone():
         # It has waited too long to be read; work on it would be for nobody.
+        state.overload.note_left(job.arrived)
         _refuse(state, job, Refusal(499, "client-gone-unread"))
         return
     refusal = check(state, job)
--- a/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
@@ -4,6 +4,7 @@
 which a short wait lasts longer than asked grows with what is queued before it.
 """
 
+import collections
 from enum import IntEnum
 
 _MEMORY = 0.2
@@ -11,6 +12,8 @@
 _LONGEST_COUNTED = 0.12
 _HIGH = 0.03
 _SEVERE = 0.08
+_LEFT_WINDOW = 1.0
+_LEFT_MANY = 8
 _HIGH_PART = 0.7
 _SEVERE_PART = 0.85
 _RELIEVED_PART = 0.6
@@ -36,6 +39,44 @@
     return Level.NONE
 
 
+class Overload:
+    """Whether this gateway should get no more clients for now.
+
+    Clients that leave before they are read show it best: what waits is then
+    longer than anybody's patience. It lasts until a while without them.
+    """
+
+    def __init__(self, log):
+        self._log = log
+        self._left = collections.deque()
+        self._last = None
+        self.is_out = False
+
+    def note_left(self, now):
+        """Note a client that left before its request was read."""
+        self._left.append(now)
+        self._last = now
+
+    def check(self, level, now):
+        """Take in the `Level`; return whether to get no more clients."""
+        while self._left and now - self._left[0] > _LEFT_WINDOW:
+            self._left.popleft()
+        if level is Level.SEVERE:
+            self._last = now
+        crowded = len(self._left) >= _LEFT_MANY or level is Level.SEVERE
+        quiet = self._last is None or now - self._last > _LEFT_WINDOW
+        out = crowded or self.is_out and not quiet
+        if out != self.is_out:
+            self.is_out = out
+            self._log.note(
+                "clients turned away" if out else "clients taken again",
+                failed=out,
+                left_unread=len(self._left),
+                level=level.name.lower(),
+            )
+        return out
+
+
 class Pressure:
     """A moving mean of how late a periodic thread wakes, in seconds."""
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -12,7 +12,7 @@
 from .loads import Loads, Reads
 from .members import Member, Members
 from .metrics import GatewayMetrics
-from .pressure import Pressure, get_occupancy_level
+from .pressure import Overload, Pressure, get_occupancy_level
 from .retries import RetryBudget
 from .shares import Shares
 from .usage import UsageWindow
@@ -48,6 +48,7 @@
         self.reads = Reads()
         self.goals = RecentGoals()
         self.pressure = Pressure(log)
+        self.overload = Overload(log)
         self.domains = Domains(cfg.domain)
         self.members = Members(
             Member(cfg.host, cfg.domain, cfg.listen.reports, cfg.processor.capacity)
@@ -88,7 +89,9 @@
 
     def is_ready(self):
         """Return whether the balancer should send clients here."""
-        return self.catalog is not None and self.directory_known and not self.stopping
+        if self.catalog is None or not self.directory_known or self.stopping:
+            return False
+        return not self.overload.check(self.get_pressure(), self.clock())
 
     def get_peers_store_age(self, now):
         """Return seconds since any live peer heard from the store, or None."""
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -19,7 +19,7 @@
 from valeweir_gateway.loads import Loads
 from valeweir_gateway.members import Member, Members
 from valeweir_gateway.placement import Choice
-from valeweir_gateway.pressure import Level, Pressure, get_occupancy_level
+from valeweir_gateway.pressure import Level, Overload, Pressure, get_occupancy_level
 from valeweir_gateway.reports import get_digest
 from valeweir_gateway.settings import Sharing
 from valeweir_gateway.shares import Shares
@@ -194,6 +194,34 @@
         )
 
 
+class TestOverload(unittest.TestCase):
+    def setUp(self):
+        self.overload = Overload(RecordingLog())
+
+    def leave(self, count, now):
+        for _ in range(count):
+            self.overload.note_left(now)
+
+    def test_a_few_that_leave_are_nothing(self):
+        self.leave(3, 5.0)
+        self.assertFalse(self.overload.check(Level.NONE, 5.0))
+
+    def test_many_that_leave_until_none_does(self):
+        self.leave(20, 5.0)
+        self.assertTrue(self.overload.check(Level.NONE, 5.1))
+        self.leave(1, 6.5)
+        self.assertTrue(self.overload.check(Level.NONE, 7.0))
+        self.assertFalse(self.overload.check(Level.NONE, 8.0))
+        self.assertEqual(
+            self.overload._log.events, ["clients turned away", "clients taken again"]
+        )
+
+    def test_level_of_its_own(self):
+        self.assertTrue(self.overload.check(Level.SEVERE, 5.0))
+        self.assertTrue(self.overload.check(Level.HIGH, 5.5))
+        self.assertFalse(self.overload.check(Level.HIGH, 6.5))
+
+
 class TestRecentGoals(unittest.TestCase):
     def test_goals_out_of_use_do_not_count(self):
         goals = RecentGoals()
