--- a/packages/valeweir_router/src/valeweir_router/granting.py
+++ b/packages/valeweir_router/src/valeweir_router/granting.py
@@ -4,7 +4,7 @@
 """
 
 from valeweir_fleet.messages import Offer
-from valeweir_sharing.accounts import Key
+from valeweir_sharing.figures import Key
 from valeweir_sharing.grants import Want, plan_floats, plan_gifts
 
 from . import dispatching
--- a/packages/valeweir_router/src/valeweir_router/histories.py
+++ b/packages/valeweir_router/src/valeweir_router/histories.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 from valeweir_fleet.messages import Past
-from valeweir_sharing.accounts import History, Key
+from valeweir_sharing.figures import History, Key
 
 _RETIRE_AFTER = 600.0
 _FORGET_AFTER = 86_400.0
--- a/packages/valeweir_router/src/valeweir_router/states.py
+++ b/packages/valeweir_router/src/valeweir_router/states.py
@@ -8,9 +8,10 @@
 from valeweir.configuration import Configuration
 from valeweir.timers import get_lease_time
 from valeweir_fleet.peers import Peers
-from valeweir_sharing.accounts import Key, Ledger
+from valeweir_sharing.accounts import Ledger
 from valeweir_sharing.choice import PrefixHints
 from valeweir_sharing.estimates import Estimates
+from valeweir_sharing.figures import Key
 from valeweir_sharing.health import Health
 from valeweir_sharing.keys import KeyTable
 from valeweir_sharing.leases import Holder
--- a/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/accounts.py
@@ -9,75 +9,12 @@
 that no credit is saved up while idle.
 """
 
-from typing import NamedTuple
+from .figures import History, Key, Report, Source, Usage, set_count
 
 # How far below the front, in mean requests, an account may enter.
 _ENTRY_ALLOWANCE = 4.0
 
 
-class Key(NamedTuple):
-    """What service is accounted for."""
-
-    pool: str
-    account: str
-
-
-class Report(NamedTuple):
-    """One incarnation's figures for one key.
-
-    ``settled`` only grows; ``inflight`` is the charge for running requests;
-    ``lift`` is a fleet-wide maximum; ``waiting`` counts queued requests.
-    """
-
-    settled: float
-    inflight: float
-    lift: float
-    waiting: int
-
-
-class History(NamedTuple):
-    """Service that a router which starts empty cannot hear of otherwise.
-
-    ``base`` is the settled service of ``retired`` incarnations, summed;
-    ``silent`` that of incarnations not heard from, by name.
-    """
-
-    base: dict[Key, float]
-    retired: list[str]
-    lifts: dict[Key, float]
-    silent: dict[str, dict[Key, float]]
-
-
-class Usage:
-    """This incarnation's own figures for one key."""
-
-    __slots__ = ("inflight", "settled", "waiting")
-
-    def __init__(self):
-        self.settled = 0.0
-        self.inflight = 0.0
-        self.waiting = 0
-
-
-class _Source:
-    """What another incarnation reported last."""
-
-    __slots__ = ("given", "live", "reports", "seq", "waiting")
-
-    def __init__(self):
-        self.seq = -1
-        self.live = True
-        self.reports = {}
-        # {pool: {account: requests}}, for the demand that owners ask for.
-        self.waiting = {}
-        # Requests that slots were given for since the last report.
-        self.given = {}
-
-    def set_waiting(self, key, count):
-        """Note how many requests of ``key`` wait there."""
-        _set_count(self.waiting, key, count)
-
-
 class Ledger:
     """All that one router knows of the fleet's service.
 
@@ -87,7 +24,7 @@
         False while reports of live routers are missing. Lifts are for good
         and fleet-wide, so none is made from a part of the figures.
     own : dict of Key to Usage
-    sources : dict of str to _Source, by incarnation
+    sources : dict of str to Source, by incarnation
     lifts : dict of Key to float
     fronts : dict of pool to float, the virtual service last dispatched at
     elsewhere : dict of pool to {account: waiting requests at other routers}
@@ -155,7 +92,7 @@
             if not self.elsewhere.get(key.pool, {}).get(key.account):
                 self._lift_entrant(key)
         usage.waiting += delta
-        _set_count(self._own_waiting, key, usage.waiting)
+        set_count(self._own_waiting, key, usage.waiting)
         self.dirty.add(key)
 
     def charge(self, key, estimate):
@@ -229,7 +166,7 @@
         """
         if source in self.retired:
             return False
-        state = self.sources.setdefault(source, _Source())
+        state = self.sources.setdefault(source, Source())
         if seq <= state.seq:
             return False
         state.seq = seq
@@ -244,7 +181,7 @@
 
     def merge_waiting(self, source, pool, waiting):
         """Replace what waits at ``source`` in ``pool``; {account: count}."""
-        state = self.sources.setdefault(source, _Source())
+        state = self.sources.setdefault(source, Source())
         self._restore_demand(state)
         for account in set(state.waiting.get(pool, ())) | set(waiting):
             key = Key(pool, account)
@@ -408,13 +345,4 @@
     def _add_elsewhere(self, key, amount):
         if amount:
             count = self.elsewhere.get(key.pool, {}).get(key.account, 0) + amount
-            _set_count(self.elsewhere, key, count)
-
-
-def _set_count(counts, key, count):
-    """Set ``counts[pool][account]``; what is not positive is left out."""
-    pool = counts.setdefault(key.pool, {})
-    if count > 0:
-        pool[key.account] = count
-    else:
-        pool.pop(key.account, None)
+            set_count(self.elsewhere, key, count)
--- a/packages/valeweir_sharing/src/valeweir_sharing/grants.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/grants.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from .accounts import Key
+from .figures import Key
 
 
 class Want(NamedTuple):
--- a/packages/valeweir_sharing/src/valeweir_sharing/queues.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/queues.py
@@ -5,7 +5,7 @@
 
 from valeweir.models import CLASS_PRIORITY
 
-from .accounts import Key
+from .figures import Key
 
 
 class OrderSettings(NamedTuple):
