--- a/packages/valeweir/src/valeweir/servers.py
+++ b/packages/valeweir/src/valeweir/servers.py
@@ -94,8 +94,8 @@
         """Return whether the client has closed its side of the connection."""
         sock = self._req.conn.socket
         try:
-            ready, _, _ = select.select([sock], [], [], 0)
-            if not ready:
+            # Not select(), which takes no descriptor from 1,024 on.
+            if not _is_readable(sock):
                 return False
             if not hasattr(sock, "pending"):
                 return sock.recv(1, socket.MSG_PEEK) == b""
--- a/packages/valeweir/tests/test_servers.py
+++ b/packages/valeweir/tests/test_servers.py
@@ -1,7 +1,12 @@
+import fcntl
+import resource
 import socket
 import unittest
+from types import SimpleNamespace
 
-from valeweir.servers import create_server
+from valeweir.servers import Reply, create_server
+
+HIGH = 1_500
 
 
 class TestAccepting(unittest.TestCase):
@@ -35,3 +40,33 @@
         self.assertEqual(len(self.processed), 65)
         self.accept()
         self.assertEqual(len(self.processed), 90)
+
+
+class TestClientIsGone(unittest.TestCase):
+    def setUp(self):
+        soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if soft <= HIGH:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
+        low, self.client = socket.socketpair()
+        high = fcntl.fcntl(low.fileno(), fcntl.F_DUPFD, HIGH)
+        self.pairs = {"low": low, "high": socket.socket(fileno=high)}
+        for sock in (self.client, *self.pairs.values()):
+            self.addCleanup(sock.close)
+
+    def check(self, gone):
+        for name, sock in self.pairs.items():
+            with self.subTest(name, descriptor=sock.fileno()):
+                conn = SimpleNamespace(socket=sock)
+                reply = Reply(SimpleNamespace(conn=conn))
+                self.assertIs(reply.is_gone(), gone)
+
+    def test_one_that_waits(self):
+        self.check(False)
+
+    def test_one_that_sends_more(self):
+        self.client.sendall(b"x")
+        self.check(False)
+
+    def test_one_that_has_left(self):
+        self.client.close()
+        self.check(True)
