--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -3,8 +3,10 @@
 from .pressure import Level
 from .refusals import Refusal
 
+# Parts of the goal: for the whole wait, and for what is ahead of a long prompt.
 _GOAL_PART = 0.65
 _AHEAD_PART = 0.2
+# Times to come back, in seconds.
 _LEAST_RETRY = 0.3
 _ELSEWHERE_RETRY = 0.1
 _CAPPED_RETRY = 1.0
--- a/packages/valeweir_gateway/src/valeweir_gateway/duties.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/duties.py
@@ -7,6 +7,7 @@
 
 from .relays import MESH_LIMIT
 
+# All in seconds.
 _LONGEST_AGE = 2.0
 _FLEET_POLL = 1.0
 # At the start others may soon be heard that have read the store already.
--- a/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
@@ -7,16 +7,20 @@
 import collections
 from enum import IntEnum
 
+# Part of the mean that a new figure makes up.
 _MEMORY = 0.2
-# One long stop, of the host or of a collection, is no queue.
+# Lags in seconds. One long stop, of the host or of a collection, is no queue.
 _LONGEST_COUNTED = 0.12
 _HIGH = 0.03
 _SEVERE = 0.08
-_LEFT_WINDOW = 1.0
-_LEFT_MANY = 8
+# A level ends below this part of the lag that began it.
+_RELIEVED_PART = 0.6
+# Parts of the threads taken.
 _HIGH_PART = 0.7
 _SEVERE_PART = 0.85
-_RELIEVED_PART = 0.6
+# Clients that leave before they are read, within a window in seconds.
+_LEFT_MANY = 8
+_LEFT_WINDOW = 1.0
 
 
 class Level(IntEnum):
