--- a/packages/valeweir/src/valeweir/servers.py
+++ b/packages/valeweir/src/valeweir/servers.py
@@ -210,7 +210,11 @@
                 self._need_threads.clear()
                 # cheroot waits a tenth of a second for each batch to start.
                 running = len(self.requests._threads)
-                self.requests.grow(max(_GROW_BY, running // 2))
+                try:
+                    self.requests.grow(max(_GROW_BY, running // 2))
+                except RuntimeError as exc:
+                    # The host gives no more threads now; those there go on.
+                    logger.error("no more threads than {}: {}", running, exc)
 
 
 def _is_readable(sock):
--- a/packages/valeweir/tests/test_servers.py
+++ b/packages/valeweir/tests/test_servers.py
@@ -1,6 +1,7 @@
 import fcntl
 import resource
 import socket
+import threading
 import unittest
 from types import SimpleNamespace
 
@@ -70,3 +71,28 @@
     def test_one_that_has_left(self):
         self.client.close()
         self.check(True)
+
+
+class TestGrowing(unittest.TestCase):
+    def test_a_host_without_threads_ends_nothing(self):
+        server = create_server("127.0.0.1:0", lambda request, reply: None)
+        self.addCleanup(server.stop)
+        asked = threading.Event()
+        calls = []
+
+        def grow(amount):
+            calls.append(amount)
+            if len(calls) == 1:
+                server._need_threads.set()
+                raise RuntimeError("can't start new thread")
+            asked.set()
+
+        server.requests.grow = grow
+        server.ready = True
+        thread = threading.Thread(target=server._grow, daemon=True)
+        server._need_threads.set()
+        thread.start()
+        self.assertTrue(asked.wait(3.0))
+        server.ready = False
+        thread.join(3.0)
+        self.assertEqual(len(calls), 2)
