--- a/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
@@ -10,9 +10,9 @@
 # Part of the mean that a new figure makes up.
 _MEMORY = 0.2
 # Lags in seconds. One long stop, of the host or of a collection, is no queue.
-_LONGEST_COUNTED = 0.12
-_HIGH = 0.03
-_SEVERE = 0.08
+_LONGEST_COUNTED = 0.24
+_HIGH = 0.08
+_SEVERE = 0.16
 # A level ends below this part of the lag that began it.
 _RELIEVED_PART = 0.6
 # Parts of the threads taken.
