--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -140,7 +140,7 @@
         (names.account, job.account.name if job.account else None),
         (names.fetch_from, choice.source.address if choice.source else None),
     ]
-    dropped = state.reserved_headers
+    dropped = state.replaced_headers
     if job.last_event_id is not None:
         dropped = dropped | {names.last_event_id.lower()}
         added.append((names.last_event_id, job.last_event_id))
--- a/packages/valeweir_gateway/src/valeweir_gateway/checking.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/checking.py
@@ -14,6 +14,7 @@
     if job.catalog is None:
         return Refusal(503, "not-ready", retry_after=_UNREADY_RETRY)
     headers = job.request.headers
+    _note_own_headers(state, job)
     path = job.request.target.partition("?")[0]
     job.route = job.catalog.find_route(headers.get("Host", ""), path)
     if job.route is None:
@@ -37,6 +38,16 @@
     return None
 
 
+def _note_own_headers(state, job):
+    """Count and log headers that the client may not set; they are not sent on."""
+    found = [n for n in job.request.headers if n.lower() in state.own_headers]
+    if not found:
+        return
+    for name in found:
+        state.metrics.headers_dropped.labels(name).inc()
+    state.log.note("headers dropped", id=job.id, names=found)
+
+
 def _get_time_allowed(state, job):
     allowed = job.route.timeout
     text = job.request.headers.get(state.incoming.deadline)
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -26,6 +26,11 @@
         self.malformed = self._counter(
             "requests_malformed", "Requests that do not parse, by status", "code"
         )
+        self.headers_dropped = self._counter(
+            "headers_dropped",
+            "Headers from clients that only the fleet may set, by name",
+            "name",
+        )
         self.request_seconds = self._histogram(
             "request_seconds", "Time from the request to the end of its answer", "kind"
         )
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -8,7 +8,7 @@
 from .directory import Directory
 from .domains import Domains
 from .goals import RecentGoals
-from .headers import HeaderNames
+from .headers import HeaderNames, get_own_headers, get_replaced_headers
 from .loads import Loads, Reads
 from .members import Member, Members
 from .metrics import GatewayMetrics
@@ -64,18 +64,8 @@
         self.stop_end = 0.0
         self._inflight = 0
         self._lock = threading.Lock()
-        self.reserved_headers = frozenset(
-            name.lower()
-            for name in (
-                names.deadline,
-                names.account,
-                names.expected_instance,
-                names.fetch_from,
-                "Authorization",
-                "Content-Length",
-                "Expect",
-            )
-        )
+        self.own_headers = get_own_headers(names)
+        self.replaced_headers = get_replaced_headers(names)
 
     @property
     def inflight(self):
