--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -28,6 +28,7 @@
 _GRACE_MARGIN = 0.4
 _STALE_CHECK = 1.0
 _CACHE_CHECK = 0.2
+_LAPSE_CHECK = 0.05
 
 
 class Followers(NamedTuple):
@@ -50,7 +51,8 @@
         listen = state.cfg.listen
         self._fleet = create_fleet(state, listen.reports)
         duty = StoreDuty(state, lambda: self._fleet.plan)
-        self._followers = _create_followers(state, adapter, duty)
+        self._keeper = ViewKeeper(state, adapter)
+        self._followers = _create_followers(state, adapter, duty, self._keeper)
         self._views = create_server(
             listen.fleet, self._create_view_handler(), threads=_SIDE_THREADS
         )
@@ -85,6 +87,7 @@
             self._metrics.start_threads()
         self._ready.start_threads()
         self._clients.start_threads()
+        self.timers.subscribe("lapses", _LAPSE_CHECK, self._keeper.end_lapses)
         self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
         self.timers.subscribe("caches", _CACHE_CHECK, self._scout.find_new)
         self.timers.subscribe("domains", PROBE_INTERVAL, self._prober.probe)
@@ -139,6 +142,7 @@
             data = encode_view(
                 make_topic_view(followers.catalog, _get_offset(request, "catalog")),
                 make_topic_view(followers.instances, _get_offset(request, "instances")),
+                self.state.lapses.get_age(self.state.clock()),
             )
             reply.send(200, [("Content-Type", "application/msgpack")], data)
 
@@ -226,9 +230,7 @@
     return int(text) if text.isdigit() else 0
 
 
-def _create_followers(state, adapter, duty):
-    views = ViewKeeper(state, adapter)
-
+def _create_followers(state, adapter, duty, views):
     def ignore(*_):
         pass
 
@@ -249,6 +251,7 @@
             state.clock,
             is_wanted,
             on_heard,
+            state.lapses.note_regained,
         )
 
     return Followers(
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -59,6 +59,16 @@
     mode: str = "fleet"
 
 
+class Upstreams(msgspec.Struct, frozen=True):
+    """What holds for upstreams.
+
+    ``leave_within_ms`` is the time in milliseconds after which a leaving
+    upstream must get no more new work.
+    """
+
+    leave_within_ms: float = 2000.0
+
+
 class Processor(msgspec.Struct, frozen=True):
     """What this host may use: a part of a core, and how many there are."""
 
@@ -99,6 +109,7 @@
     stop: Stop = Stop()
     sharing: Sharing = Sharing()
     streams: Streams = Streams()
+    upstreams: Upstreams = Upstreams()
     processor: Processor = Processor()
     memory: Memory = Memory()
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -9,6 +9,7 @@
 from .domains import Domains
 from .goals import RecentGoals
 from .headers import HeaderNames, get_own_headers, get_replaced_headers
+from .lapses import Lapses
 from .loads import Loads, Reads
 from .members import Member, Members
 from .metrics import GatewayMetrics
@@ -41,6 +42,7 @@
         self.catalog = None
         self.directory = Directory()
         self.directory_known = False
+        self.lapses = Lapses(cfg.upstreams.leave_within_ms / 1000.0)
         self.members_known = False
         self.directory_offset = 0
         self.bad_records = 0
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -11,6 +11,9 @@
 _IDLE_CHECK = 0.15
 _SERIES_PAUSE = 0.2
 _MAX_DROPPED = 2_000
+# Seconds beyond a call's own wait after which the store counts as having been
+# away: a hundred times its usual answer of some milliseconds.
+_LATE_ANSWER = 0.5
 
 
 class HistoryExpired(PlatformUnavailable):
@@ -72,6 +75,9 @@
         reads nothing itself.
     on_heard : callable
         Called with the topic and the time after each answer of the store.
+    on_regained : callable
+        Called with the time when the store answers after it was away, before
+        what it answered is applied.
     """
 
     def __init__(
@@ -85,6 +91,7 @@
         clock,
         is_wanted=lambda: True,
         on_heard=lambda topic, now: None,
+        on_regained=lambda now: None,
     ):
         self._store = store
         self._topic = topic
@@ -104,6 +111,7 @@
         self._available = None
         self.heard = None
         self._on_heard = on_heard
+        self._on_regained = on_regained
 
     def run(self, stopped):
         """Follow until ``stopped`` is set; the body of a thread."""
@@ -148,6 +156,11 @@
         self._set_available(True, "")
         return True
 
+    @property
+    def is_away(self):
+        """Return whether the store did not answer the last call."""
+        return self._available is False
+
     def get_listing(self):
         """Return what is known as a `Listing`, for a peer."""
         with self._lock:
@@ -173,7 +186,9 @@
             self._take_batch(batch)
 
     def _list(self):
+        asked = self._clock()
         listing = self._store.list_newest(self._topic)
+        self._note_answer(asked, 0.0)
         with self._lock:
             self._take_listing(listing)
             self._next = listing.end
@@ -183,6 +198,12 @@
         self.heard = self._clock()
         self._on_heard(self._topic, self.heard)
 
+    def _note_answer(self, asked, wait):
+        """Tell where this answer ends a time in which the store was away."""
+        now = self._clock()
+        if self._available is False or now - asked > wait + _LATE_ANSWER:
+            self._on_regained(now)
+
     def _take_listing(self, listing):
         named = {entry.key for entry in listing.entries}
         for entry in listing.entries:
@@ -197,7 +218,14 @@
     def _read(self):
         # What a peer has told meanwhile need not be read again.
         start = self._next = max(self._next, self.end)
-        batch = self._store.read(self._topic, start, self._poll())
+        asked = self._clock()
+        wait = self._poll()
+        try:
+            batch = self._store.read(self._topic, start, wait)
+        except HistoryExpired:
+            self._note_answer(asked, wait)
+            raise
+        self._note_answer(asked, wait)
         with self._lock:
             self._take_batch(batch)
             self._next = batch.end
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -30,10 +30,15 @@
 
 
 class View(msgspec.Struct, array_like=True, frozen=True):
-    """What a gateway has read from the store, or what changed of it."""
+    """What a gateway has read from the store, or what changed of it.
+
+    ``regained_age`` is how long ago the store came back after it was away, in
+    seconds, negative for never: records that go soon after may be written again.
+    """
 
     catalog: TopicView
     instances: TopicView
+    regained_age: float = -1.0
 
 
 _decoder = msgspec.msgpack.Decoder(View)
@@ -48,9 +53,9 @@
     return TopicView([tuple(entry) for entry in batch.entries], batch.end, False)
 
 
-def encode_view(catalog, instances):
+def encode_view(catalog, instances, regained_age=-1.0):
     """Return the bytes of a view of two `TopicView`."""
-    return msgspec.msgpack.encode(View(catalog, instances))
+    return msgspec.msgpack.encode(View(catalog, instances, regained_age))
 
 
 def decode_view(data):
@@ -121,9 +126,16 @@
         view = decode_view(resp.data) if resp.status == 200 else None
         if view is None:
             return False
+        self.adopt(view)
+        return True
+
+    def adopt(self, view):
+        """Take a peer's `View` in."""
+        if view.regained_age >= 0.0:
+            now = self._state.clock()
+            self._state.lapses.note_regained(now - view.regained_age)
         adopt_view(self._catalog, view.catalog)
         adopt_view(self._instances, view.instances)
-        return True
 
     def _run(self, stopped):
         interval = _CHECK
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -1,5 +1,7 @@
 """Taking records of the store into the gateway's view of the world."""
 
+import threading
+
 from .adapters import BadRecord
 from .members import Member
 
@@ -11,6 +13,8 @@
         self._state = state
         self._adapter = adapter
         self._bad = set()
+        # Records come from the store's reader and from peers; timers end lapses.
+        self._lock = threading.Lock()
 
     def apply_catalog(self, entry):
         """Take in a record of the configuration topic."""
@@ -33,26 +37,59 @@
 
     def apply_instance(self, entry):
         """Take in a record of the instances topic."""
+        with self._lock:
+            if entry.value is None:
+                self._remove(entry)
+            else:
+                self._put(entry)
+
+    def end_lapses(self):
+        """Drop instances whose records did not come back in time."""
+        with self._lock:
+            for instance_id in self._state.lapses.take_expired(self._state.clock()):
+                old = self._state.directory.remove(instance_id)
+                if old is not None:
+                    self._drop(old, self._state.directory_offset)
+
+    def _remove(self, entry):
         state = self._state
-        if entry.value is None:
-            old = state.directory.remove(entry.key)
-            if old is not None:
-                self._drop(old, entry.offset)
+        now = state.clock()
+        known = state.directory.by_id.get(entry.key)
+        if known is None:
+            return
+        until = state.lapses.hold(known, now)
+        if until is None:
+            state.directory.remove(entry.key)
+            self._drop(known, entry.offset)
             return
+        state.log.note(
+            "upstream lapsed",
+            upstream=entry.key,
+            offset=entry.offset,
+            store_back_s=round(state.lapses.get_age(now), 3),
+            used_for_s=round(until - now, 3),
+        )
+
+    def _put(self, entry):
+        state = self._state
         try:
             instance = self._adapter.decode_instance(entry.key, entry.value)
         except BadRecord as exc:
             self._note_bad(entry.key, entry.offset, exc)
             return
         old = state.directory.by_id.get(instance.id)
+        held = state.lapses.release(instance.id)
+        if old == instance and not held:
+            return
         state.directory.put(instance)
-        if old is None or old.ready != instance.ready:
+        if held or old is None or old.ready != instance.ready:
             state.log.note(
                 "upstream ready" if instance.ready else "upstream leaving",
                 upstream=instance.id,
                 service=instance.service,
                 address=instance.address,
                 offset=entry.offset,
+                lapsed=held,
             )
 
     def apply_member(self, entry):
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_views.py
@@ -0,0 +1,244 @@
+import json
+import unittest
+from types import SimpleNamespace
+
+from valeweir.exceptions import PlatformUnavailable
+from valeweir_gateway.directory import Instance
+from valeweir_gateway.lapses import Lapses
+from valeweir_gateway.settings import GatewaySettings, Listen, Store
+from valeweir_gateway.states import GatewayState
+from valeweir_gateway.stores import Batch, Entry, HistoryExpired, Listing, TopicFollower
+from valeweir_gateway.syncing import ViewSync, decode_view, encode_view, make_topic_view
+from valeweir_gateway.views import ViewKeeper
+
+HOLD = 1.8
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+class Log:
+    def __init__(self):
+        self.events = []
+
+    def note(self, event, failed=False, **fields):
+        self.events.append(event)
+
+
+def make_state(clock):
+    listen = Listen("10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3", "10.0.0.1:4")
+    cfg = GatewaySettings("h", "a", listen, Store("10.0.0.9:1"))
+    return GatewayState(cfg, Log(), clock=clock)
+
+
+def decode_instance(key, value):
+    fields = json.loads(value)
+    return Instance(key, "llm", "10.0.0.5:1", "a", 8, fields["ready"])
+
+
+def make_value(ready=True, seq=1):
+    return json.dumps({"ready": ready, "seq": seq}).encode()
+
+
+class ViewCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock()
+        self.state = make_state(self.clock)
+        adapter = SimpleNamespace(decode_instance=decode_instance)
+        self.keeper = ViewKeeper(self.state, adapter)
+        self.offset = 0
+
+    def put(self, key="i", **fields):
+        self.offset += 1
+        self.keeper.apply_instance(Entry(key, make_value(**fields), self.offset))
+
+    def drop(self, key="i"):
+        self.offset += 1
+        self.keeper.apply_instance(Entry(key, None, self.offset))
+
+    def is_ready(self, key="i"):
+        return self.state.directory.is_ready(key)
+
+    def pass_time(self, seconds):
+        self.clock.now += seconds
+        self.keeper.end_lapses()
+
+
+class TestRecordsThatGo(ViewCase):
+    def test_while_the_store_is_there_it_is_gone_at_once(self):
+        self.put()
+        self.drop()
+        self.assertFalse(self.is_ready())
+
+    def test_after_an_outage_it_is_used_on_until_the_time_to_renew_is_over(self):
+        self.put()
+        self.state.lapses.note_regained(self.clock.now)
+        self.pass_time(0.3)
+        self.drop()
+        self.assertTrue(self.is_ready())
+        self.pass_time(HOLD - 0.4)
+        self.assertTrue(self.is_ready())
+        self.pass_time(0.2)
+        self.assertFalse(self.is_ready())
+
+    def test_renewed_in_time_it_never_goes(self):
+        self.put()
+        self.state.lapses.note_regained(self.clock.now)
+        self.drop()
+        self.pass_time(1.0)
+        self.put()
+        self.pass_time(10.0)
+        self.assertTrue(self.is_ready())
+
+    def test_one_that_said_it_is_leaving_is_gone_at_once(self):
+        self.put()
+        self.put(ready=False)
+        self.state.lapses.note_regained(self.clock.now)
+        self.drop()
+        self.assertNotIn("i", self.state.directory.by_id)
+
+    def test_leaving_is_believed_while_held(self):
+        self.put()
+        self.state.lapses.note_regained(self.clock.now)
+        self.drop()
+        self.put(ready=False)
+        self.assertFalse(self.is_ready())
+        self.pass_time(HOLD + 1.0)
+        self.assertIn("i", self.state.directory.by_id)
+
+    def test_long_after_an_outage_it_is_gone_at_once(self):
+        self.put()
+        self.state.lapses.note_regained(self.clock.now)
+        self.pass_time(HOLD + 0.1)
+        self.drop()
+        self.assertFalse(self.is_ready())
+
+    def test_a_leaving_that_was_read_holds_while_the_store_is_away(self):
+        self.put()
+        self.put(ready=False)
+        self.pass_time(60.0)
+        self.assertFalse(self.is_ready())
+
+
+class TestHoldIsShorterThanTheTimeToLeave(unittest.TestCase):
+    def test_table(self):
+        for leave_within, hold in ((2.0, 1.8), (3.0, 2.0), (10.0, 2.0)):
+            with self.subTest(leave_within=leave_within):
+                lapses = Lapses(leave_within)
+                lapses.note_regained(5.0)
+                instance = Instance("i", "llm", "10.0.0.5:1", "a", 8, True)
+                self.assertAlmostEqual(lapses.hold(instance, 5.0), 5.0 + hold)
+
+
+class TestRecordsThatChangeNothing(ViewCase):
+    def test_a_greater_sequence_number_alone(self):
+        self.put()
+        load = self.state.loads.get("i", self.clock.now)
+        load.errors = 1
+        known = self.state.directory.by_id["i"]
+        events = list(self.state.log.events)
+        self.put(seq=2)
+        self.assertIs(self.state.directory.by_id["i"], known)
+        self.assertIs(self.state.loads.get("i", self.clock.now), load)
+        self.assertEqual(self.state.log.events, events)
+
+
+class ScriptedStore:
+    """Answers with prepared results, each after some seconds."""
+
+    def __init__(self, clock, *steps):
+        self.clock = clock
+        self.steps = list(steps)
+
+    def list_newest(self, topic):
+        return self._next()
+
+    def read(self, topic, offset, wait):
+        return self._next()
+
+    def _next(self):
+        seconds, result = self.steps.pop(0)
+        self.clock.now += seconds
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+
+class TestNoticingThatTheStoreCameBack(ViewCase):
+    def follow(self, *steps):
+        self.follower = TopicFollower(
+            ScriptedStore(self.clock, *steps),
+            "t",
+            self.keeper.apply_instance,
+            lambda end: None,
+            self.state.log,
+            lambda: 1.0,
+            self.clock,
+            on_regained=self.state.lapses.note_regained,
+        )
+        for _ in steps:
+            self.follower.follow_once()
+
+    def test_table(self):
+        listed = Listing([Entry("i", make_value(), 1)], 2)
+        gone = Batch([Entry("i", None, 2)], 3)
+        down = PlatformUnavailable("down")
+        cases = {
+            "there all the time": ([(0.0, listed), (0.9, gone)], False),
+            "failed once": ([(0.0, listed), (0.0, down), (0.0, gone)], True),
+            "answered late": ([(0.0, listed), (4.0, gone)], True),
+            "history expired meanwhile": (
+                [
+                    (0.0, listed),
+                    (0.0, down),
+                    (0.0, HistoryExpired("t")),
+                    (0.0, Listing([], 5)),
+                ],
+                True,
+            ),
+        }
+        for name, (steps, used_on) in cases.items():
+            with self.subTest(name):
+                self.setUp()
+                self.follow(*steps)
+                self.assertEqual(self.is_ready(), used_on)
+
+
+class TestPeersLearnThatTheStoreCameBack(ViewCase):
+    def make_follower(self, apply):
+        return TopicFollower(
+            None,
+            "t",
+            apply,
+            lambda end: None,
+            self.state.log,
+            lambda: 1.0,
+            self.clock,
+        )
+
+    def test_the_view_tells_how_long_ago(self):
+        reader = self.make_follower(lambda entry: None)
+        reader.adopt_batch(Batch([Entry("i", make_value(), 1)], 2))
+        reader.adopt_batch(Batch([Entry("i", None, 2)], 3))
+        nothing = make_topic_view(self.make_follower(lambda entry: None), 0)
+        data = encode_view(nothing, make_topic_view(reader, 2), 0.5)
+        self.put()
+        catalog = self.make_follower(lambda entry: None)
+        instances = self.make_follower(self.keeper.apply_instance)
+        instances.adopt_batch(Batch([Entry("i", make_value(), 1)], 2))
+        sync = ViewSync(self.state, catalog, instances, 1, None)
+        sync.adopt(decode_view(data))
+        self.assertTrue(self.is_ready())
+        self.pass_time(HOLD - 0.6)
+        self.assertTrue(self.is_ready())
+        self.pass_time(0.2)
+        self.assertFalse(self.is_ready())
+
+
+if __name__ == "__main__":
+    unittest.main()
