--- /dev/null
+++ b/packages/valeweir_cli/src/valeweir_cli/explain.py
@@ -0,0 +1,125 @@
+"""``valeweir explain``: from logs to the way of a request, or to all losses."""
+
+import sys
+from pathlib import Path
+
+import click
+import msgspec
+
+from .loglines import read_logs
+from .losses import GROUPS, count_by_second, find_losses, tabulate
+
+_BAD_INPUT = 2
+_HIDDEN = ("t", "time", "event", "host", "id", "left_out")
+
+
+@click.command()
+@click.argument("logs", nargs=-1, required=True)
+@click.option("--most", default=12, show_default=True, help="Rows of each table.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+@click.option(
+    "--plot",
+    "plot_path",
+    type=click.Path(dir_okay=False),
+    help="Draw losses over time by reason into this file.",
+)
+def explain(logs, most, as_json, plot_path):
+    """Say from LOGS where requests were lost, or the way of one of them.
+
+    LOGS are files with gateways' log lines, "-" for standard input; where the
+    last one names no file, it is the id of a request. Exits with 2 where a file
+    cannot be read or nothing is known of the id.
+    """
+    paths, request_id = _split(logs)
+    try:
+        reading = read_logs(paths)
+    except OSError as exc:
+        _fail(f"{exc.filename}: {exc.strerror}")
+    if request_id is not None:
+        _show_request(reading, request_id, as_json)
+        return
+    losses = find_losses(reading.lines)
+    if plot_path:
+        from .plots import draw_losses
+
+        draw_losses(count_by_second(losses), plot_path)
+    if as_json:
+        _print_json(reading, losses)
+    else:
+        _print_tables(reading, losses, most)
+
+
+def _split(logs):
+    """Return the files and the id, which is None where every argument is a file."""
+    last = logs[-1]
+    if len(logs) == 1 or last == "-" or Path(last).exists():
+        return logs, None
+    return logs[:-1], last
+
+
+def _fail(text):
+    click.echo(f"valeweir explain: {text}", err=True)
+    sys.exit(_BAD_INPUT)
+
+
+def _show_request(reading, request_id, as_json):
+    lines = [line for line in reading.lines if line.request_id == request_id]
+    if not lines:
+        _fail(f"{request_id}: neither a file nor the id of a request in the logs")
+    if as_json:
+        rows = [{"at": line.at, **line.fields} for line in lines]
+        click.echo(msgspec.json.encode(rows).decode())
+        return
+    start = lines[0].at
+    for line in lines:
+        shown = {k: v for k, v in line.fields.items() if k not in _HIDDEN}
+        text = " ".join(f"{key}={value}" for key, value in shown.items())
+        offset = (line.at - start) * 1000.0
+        click.echo(f"{offset:+10.1f} ms  {line.host}  {line.event}  {text}")
+    _print_remarks(reading)
+
+
+def _print_json(reading, losses):
+    tables = {
+        group: [row._asdict() for row in tabulate(losses, group)] for group in GROUPS
+    }
+    value = {
+        "lines": len(reading.lines),
+        "passed_over": reading.passed_over,
+        "left_out": reading.left_out,
+        "losses": len(losses),
+        "tables": tables,
+    }
+    click.echo(msgspec.json.encode(value).decode())
+
+
+def _print_tables(reading, losses, most):
+    click.echo(f"{len(losses)} requests lost or late in {len(reading.lines)} lines")
+    _print_remarks(reading)
+    for group in GROUPS:
+        rows = tabulate(losses, group)
+        if not rows:
+            continue
+        click.echo("")
+        click.echo(
+            f"{group:28}{'count':>8}{'share':>8}{'first sent p50':>16}{'p99 ms':>9}"
+        )
+        shown = rows if group == "second" else rows[:most]
+        for row in shown:
+            click.echo(
+                f"{row.value:28}{row.count:8}{row.share:8.1%}"
+                f"{_format(row.first_sent_p50):>16}{_format(row.first_sent_p99):>9}"
+            )
+        if len(rows) > len(shown):
+            click.echo(f"({len(rows) - len(shown)} more)")
+
+
+def _print_remarks(reading):
+    if reading.passed_over:
+        click.echo(f"{reading.passed_over} lines passed over: no log lines")
+    if reading.left_out:
+        click.echo(f"{reading.left_out} lines left out by gateways above their rate")
+
+
+def _format(milliseconds):
+    return "-" if milliseconds is None else f"{milliseconds:.0f}"
--- /dev/null
+++ b/packages/valeweir_cli/src/valeweir_cli/losses.py
@@ -0,0 +1,117 @@
+"""Requests that were lost or late, by what the gateways' logs say of them."""
+
+import collections
+from typing import NamedTuple
+
+LATE = "late"
+_ALL = "all"
+
+
+class Loss(NamedTuple):
+    """A request that earned less than it could.
+
+    ``second`` counts from the first line of the logs; ``first_sent`` is the
+    time in milliseconds until it was first sent to an upstream, None where it
+    never was.
+    """
+
+    request_id: str
+    reason: str
+    route: str
+    account: str
+    domain: str
+    host: str
+    second: int
+    first_sent: float | None
+
+
+class Row(NamedTuple):
+    """Losses that share a value; times in milliseconds, None without any."""
+
+    value: str
+    count: int
+    share: float
+    first_sent_p50: float | None
+    first_sent_p99: float | None
+
+
+GROUPS = ("reason", "route", "account", "domain", "host", "second")
+
+
+def find_losses(lines):
+    """Return the `Loss` of each line that ends a request badly or late."""
+    losses = []
+    start = lines[0].at if lines else 0.0
+    for line in lines:
+        reason = _get_reason(line)
+        if reason is None:
+            continue
+        get = line.fields.get
+        losses.append(
+            Loss(
+                line.request_id,
+                reason,
+                get("route") or "-",
+                get("account") or "-",
+                get("domain") or "-",
+                line.host,
+                int(line.at - start),
+                get("first_sent_ms"),
+            )
+        )
+    return losses
+
+
+def tabulate(losses, group):
+    """Return a `Row` for each value of a field, the most first; seconds in order."""
+    members = collections.defaultdict(list)
+    for loss in losses:
+        members[str(getattr(loss, group))].append(loss.first_sent)
+    rows = [
+        Row(value, len(times), len(times) / len(losses), *_get_quantiles(times))
+        for value, times in members.items()
+    ]
+    if group == "second":
+        return sorted(rows, key=lambda row: int(row.value))
+    return sorted(rows, key=lambda row: (-row.count, row.value))
+
+
+def count_by_second(losses):
+    """Return {reason: [count by second]} for a picture, the greatest first."""
+    if not losses:
+        return {}
+    length = max(loss.second for loss in losses) + 1
+    table = collections.defaultdict(lambda: [0] * length)
+    for loss in losses:
+        table[loss.reason][loss.second] += 1
+    return dict(sorted(table.items(), key=lambda item: -sum(item[1])))
+
+
+def _get_reason(line):
+    fields = line.fields
+    if line.event == "request refused":
+        return str(fields.get("why") or "refused")
+    if line.event == "request failed":
+        return "internal"
+    if line.event == "request served" and _is_late(fields):
+        return LATE
+    return None
+
+
+def _is_late(fields):
+    goal = fields.get("goal_ms")
+    sent, first = fields.get("first_sent_ms"), fields.get("first_ms")
+    if not goal or sent is None or first is None:
+        return False
+    return sent + first > goal
+
+
+def _get_quantiles(times):
+    known = sorted(time for time in times if time is not None)
+    if not known:
+        return None, None
+    return _pick(known, 0.5), _pick(known, 0.99)
+
+
+def _pick(values, part):
+    return values[min(len(values) - 1, int(part * len(values)))]
--- a/packages/valeweir_cli/src/valeweir_cli/main.py
+++ b/packages/valeweir_cli/src/valeweir_cli/main.py
@@ -9,6 +9,7 @@
 
 from . import operate
 from .bench import bench, demo
+from .explain import explain
 from .standins import standin
 
 _BAD_SETTINGS = 2
@@ -40,6 +41,7 @@
 
 main.add_command(bench)
 main.add_command(demo)
+main.add_command(explain)
 main.add_command(standin)
 for command in (
     operate.get,
--- a/packages/valeweir_cli/src/valeweir_cli/plots.py
+++ b/packages/valeweir_cli/src/valeweir_cli/plots.py
@@ -1,4 +1,4 @@
-"""Plots of experiments."""
+"""Plots of experiments and of losses."""
 
 import matplotlib
 
@@ -21,3 +21,16 @@
     axes[0][-1].legend(fontsize=6)
     fig.tight_layout()
     fig.savefig(path)
+
+
+def draw_losses(counts, path):
+    """Draw losses a second, stacked by reason; ``counts`` is {reason: [count]}."""
+    fig, axis = pyplot.subplots(figsize=(9, 4))
+    if counts:
+        seconds = range(len(next(iter(counts.values()))))
+        axis.stackplot(seconds, *counts.values(), labels=list(counts))
+        axis.legend(fontsize=7, loc="upper right")
+    axis.set_xlabel("seconds since the first line")
+    axis.set_ylabel("requests lost or late a second")
+    fig.tight_layout()
+    fig.savefig(path)
--- /dev/null
+++ b/packages/valeweir_cli/tests/test_explain.py
@@ -0,0 +1,149 @@
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+from valeweir_cli.loglines import parse_line, read_logs
+from valeweir_cli.losses import find_losses, tabulate
+from valeweir_cli.main import main
+
+LINES = [
+    {"event": "started", "host": "h-1"},
+    {
+        "event": "request refused",
+        "host": "h-1",
+        "domain": "x",
+        "id": "r1",
+        "why": "engines-busy",
+        "route": "plan",
+        "account": "one",
+        "first_sent_ms": None,
+    },
+    {
+        "event": "request served",
+        "host": "h-2",
+        "domain": "y",
+        "id": "r1",
+        "route": "plan",
+        "goal_ms": 500.0,
+        "first_sent_ms": 400.0,
+        "first_ms": 200.0,
+    },
+    {
+        "event": "request served",
+        "host": "h-2",
+        "domain": "y",
+        "id": "r2",
+        "route": "plan",
+        "goal_ms": 500.0,
+        "first_sent_ms": 2.0,
+        "first_ms": 200.0,
+        "left_out": 7,
+    },
+    {"event": "request failed", "host": "h-2", "domain": "y", "id": "r3"},
+]
+
+
+class LogCase(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "gateways.log"
+        texts = [
+            json.dumps({"t": 9.0, "time": 100.0 + number, **line})
+            for number, line in enumerate(LINES)
+        ]
+        texts.insert(2, "{broken")
+        texts.insert(0, "not a log line")
+        self.path.write_text("\n".join(texts))
+
+    def run_explain(self, *args, **kwargs):
+        return CliRunner().invoke(main, ["explain", *map(str, args)], **kwargs)
+
+
+class TestParsing(unittest.TestCase):
+    def test_table(self):
+        fields = '{"t": 5.0, "time": 7.5, "event": "started", "host": "h"}'
+        cases = {
+            "bare": (fields, 7.5),
+            "collected": (f"  -3.25 front-1 {fields}", -3.25),
+            "named": (f"front-1 {fields}", 7.5),
+            "no wall clock": ('{"t": 5.0, "event": "e", "host": "h"}', 5.0),
+        }
+        for name, (text, at) in cases.items():
+            with self.subTest(name):
+                self.assertEqual(parse_line(text).at, at)
+
+    def test_what_is_no_log_line(self):
+        cases = ("", "{", "[]", "{}", '{"event": 3, "host": "h", "t": 1}')
+        for text in (*cases, '{"event": "e", "host": "h", "t": "x"}', "{} {}"):
+            with self.subTest(text):
+                self.assertIsNone(parse_line(text))
+
+
+class TestLosses(LogCase):
+    def test_reasons(self):
+        reading = read_logs([str(self.path)])
+        losses = find_losses(reading.lines)
+        found = [(loss.request_id, loss.reason, loss.second) for loss in losses]
+        self.assertEqual(
+            found, [("r1", "engines-busy", 1), ("r1", "late", 2), ("r3", "internal", 4)]
+        )
+        self.assertEqual((reading.passed_over, reading.left_out), (2, 7))
+
+    def test_table_by_host(self):
+        losses = find_losses(read_logs([str(self.path)]).lines)
+        rows = tabulate(losses, "host")
+        self.assertEqual([(r.value, r.count) for r in rows], [("h-2", 2), ("h-1", 1)])
+        self.assertEqual(rows[0].first_sent_p50, 400.0)
+        self.assertIsNone(rows[1].first_sent_p50)
+
+    def test_no_lines(self):
+        self.assertEqual(find_losses([]), [])
+        self.assertEqual(tabulate([], "reason"), [])
+
+
+class TestCommand(LogCase):
+    def test_tables(self):
+        result = self.run_explain(self.path)
+        self.assertEqual(result.exit_code, 0, result.output)
+        for text in ("3 requests lost or late", "engines-busy", "2 lines passed over"):
+            self.assertIn(text, result.output)
+
+    def test_standard_input(self):
+        result = self.run_explain("-", input=self.path.read_text())
+        self.assertEqual(result.exit_code, 0)
+        self.assertIn("3 requests lost or late", result.output)
+
+    def test_way_of_a_request(self):
+        result = self.run_explain(self.path, "r1")
+        self.assertEqual(result.exit_code, 0)
+        rows = result.output.splitlines()
+        self.assertIn("h-1  request refused", rows[0])
+        self.assertIn("+1000.0 ms  h-2  request served", rows[1])
+
+    def test_json(self):
+        result = self.run_explain(self.path, "--json")
+        value = json.loads(result.output)
+        self.assertEqual(value["losses"], 3)
+        self.assertEqual(len(value["tables"]["second"]), 3)
+        rows = json.loads(self.run_explain(self.path, "r1", "--json").output)
+        self.assertEqual([row["host"] for row in rows], ["h-1", "h-2"])
+
+    def test_unknown_file_or_id(self):
+        for args in (["missing.log"], [self.path, "r9"]):
+            with self.subTest(args):
+                result = self.run_explain(*args)
+                self.assertEqual(result.exit_code, 2)
+                self.assertIn(str(args[-1]), result.output)
+
+    def test_picture(self):
+        picture = self.path.with_suffix(".png")
+        result = self.run_explain(self.path, "--plot", picture)
+        self.assertEqual(result.exit_code, 0, result.output)
+        self.assertGreater(picture.stat().st_size, 1_000)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -31,6 +31,7 @@
         state.names.request_id,
     )
     if job.sends == 0:
+        job.first_sent = now
         _note_begun(state, job, now)
     job.sends += 1
     work = state.loads.start(instance.id, choice.tokens, now)
--- a/packages/valeweir_gateway/src/valeweir_gateway/decisions.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/decisions.py
@@ -54,10 +54,13 @@
         Fields that stand on every line.
     """
 
-    def __init__(self, write=None, identity=None, clock=time.monotonic):
+    def __init__(
+        self, write=None, identity=None, clock=time.monotonic, wall_clock=time.time
+    ):
         self._write = write or _write_stdout
         self._identity = identity or {}
         self._clock = clock
+        self._wall_clock = wall_clock
         self._queue = queue.Queue(_QUEUE_LINES)
         self._lock = threading.Lock()
         self._routine = _Allowance(_RATE_PER_SECOND, _BURST, clock)
@@ -84,7 +87,14 @@
             if not allowance.take():
                 self.left_out += 1
                 return
-        line = {"t": round(self._clock(), 4), "event": event, **self._identity}
+        # ``t`` orders the lines of one process; ``time`` those of several hosts,
+        # as well as their clocks agree.
+        line = {
+            "t": round(self._clock(), 4),
+            "time": round(self._wall_clock(), 3),
+            "event": event,
+            **self._identity,
+        }
         line.update(fields)
         try:
             self._queue.put_nowait(line)
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -176,7 +176,7 @@
 
 def create_gateway(cfg, adapter, log=None):
     """Return a `Gateway` for checked settings, its ports bound on start."""
-    log = log or DecisionLog(identity={"host": cfg.host})
+    log = log or DecisionLog(identity={"host": cfg.host, "domain": cfg.domain})
     state = GatewayState(cfg, log, adapter.names)
 
     def note_malformed(code):
--- a/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
@@ -12,6 +12,7 @@
         "catalog",
         "deadline",
         "excluded",
+        "first_sent",
         "id",
         "last_event_id",
         "may_have_run",
@@ -37,6 +38,7 @@
         self.service = None
         self.excluded = set()
         self.sends = 0
+        self.first_sent = None
         self.answered = 0
         self.last_event_id = None
         self.may_have_run = False
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -17,6 +17,7 @@
         account=job.account.name if job.account else None,
         version=job.catalog.version if job.catalog else None,
         sends=job.sends,
+        first_sent_ms=_get_first_sent(job),
         held_ms=to_milliseconds(state.clock() - job.arrived),
         retry_after=refusal.retry_after,
         **(refusal.inputs or {}),
@@ -51,6 +52,8 @@
         expected_ms=to_milliseconds(choice.wait),
         unread=choice.tokens,
         ahead=work.ahead,
+        goal_ms=to_milliseconds(job.route.goal),
+        first_sent_ms=_get_first_sent(job),
         first_ms=to_milliseconds(work.first or 0.0),
         sends=job.sends,
         took_ms=to_milliseconds(now - job.arrived),
@@ -87,6 +90,13 @@
     )
 
 
+def _get_first_sent(job):
+    """Return the milliseconds until the first send, None where there was none."""
+    if job.first_sent is None:
+        return None
+    return to_milliseconds(job.first_sent - job.arrived)
+
+
 def to_milliseconds(seconds):
     """Return milliseconds, rounded for the log."""
     return round(seconds * 1000.0, 1)
