--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -1,10 +1,11 @@
 """One send of a request to one upstream instance, and its answer."""
 
 from . import streams
+from .answers import Head
 from .catalog import RouteKind
 from .checking import ANSWER_MARGIN
 from .connections import LONGEST_IDLE, connect
-from .exchanges import Call, Exchange, Failure, Fault, Head, prepare_headers
+from .exchanges import Call, Exchange, Failure, Fault, prepare_headers
 from .recording import note_failure, note_result
 from .repeating import MISDIRECTED
 
@@ -13,10 +14,10 @@
 _SERVER_ERROR = 500
 
 
-def attempt(state, job, choice):
+async def attempt(state, job, choice):
     """Send once; return None when answered, or the `Failure`."""
     instance = choice.instance
-    sock = _get_socket(state, job, instance)
+    sock = await _get_socket(state, job, instance)
     if isinstance(sock, Failure):
         note_failure(state, job, choice, sock)
         return sock
@@ -38,7 +39,7 @@
     if job.prompt is not None:
         _note_reads(state, job, choice, now)
     try:
-        failure = _exchange(state, job, choice, exchange, work)
+        failure = await _exchange(state, job, choice, exchange, work)
     finally:
         exchange.close()
         state.loads.finish(work, state.clock())
@@ -62,37 +63,38 @@
     state.loads.note_parts(shared, instance_id, now)
 
 
-def _get_socket(state, job, instance):
+async def _get_socket(state, job, instance):
     repeatable = job.route.repeatable
     longest_idle = LONGEST_IDLE if repeatable else _FRESH_WITHIN
     sock = state.connections.take(instance.id, longest_idle)
     if sock is not None:
         return sock
     try:
-        return connect(instance.address)
+        return await connect(instance.address, job.reply)
     except OSError as exc:
-        return Failure(Fault.NOT_SENT, f"no connection: {exc}")
+        fault = Fault.GONE if job.reply.is_gone else Fault.NOT_SENT
+        return Failure(fault, f"no connection: {exc}")
 
 
-def _exchange(state, job, choice, exchange, work):
-    failure = exchange.send(_prepare_call(state, job, choice))
+async def _exchange(state, job, choice, exchange, work):
+    failure = await exchange.send(_prepare_call(state, job, choice))
     if failure is not None:
         return failure
-    head = exchange.read(_get_attempt_end(state, job))
+    head = await exchange.read(_get_attempt_end(state, job))
     if isinstance(head, Failure):
         return head
     if not isinstance(head, Head):
         return Failure(Fault.AMBIGUOUS, "no head")
     if state.names.not_run.lower() in head.headers or head.status == MISDIRECTED:
-        return _reject(exchange, head)
+        return await _reject(exchange, head)
     signed = state.names.signature.lower() in head.headers
     if head.status < 300 and not signed:
         return Failure(Fault.AMBIGUOUS, "unsigned success", head.status)
     if head.status in _PROMISES and not signed:
         return Failure(Fault.AMBIGUOUS, "unsigned promise", head.status)
     if job.route.kind is RouteKind.STREAM and head.status == 200:
-        return streams.forward_stream(state, job, exchange, head, work)
-    body = exchange.read_body()
+        return await streams.forward_stream(state, job, exchange, head, work)
+    body = await exchange.read_body()
     if isinstance(body, Failure):
         return body
     state.loads.note_progress(work, state.clock())
@@ -102,9 +104,9 @@
     return None
 
 
-def _reject(exchange, head):
+async def _reject(exchange, head):
     # Reading the rest of a rejection keeps the connection for the next one.
-    body = exchange.read_body()
+    body = await exchange.read_body()
     if isinstance(body, Failure):
         exchange.close()
     return Failure(Fault.REJECTED, f"rejected with {head.status}", head.status)
@@ -155,7 +157,4 @@
 
 def _send_answer(job, head, body):
     job.answered = head.status
-    try:
-        job.reply.send(head.status, list(head.headers.items()), body)
-    except OSError:
-        job.reply.close()
+    job.reply.send(head.status, head.headers.items(), body)
--- a/packages/valeweir_gateway/src/valeweir_gateway/checking.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/checking.py
@@ -29,18 +29,19 @@
     if state.refusing and not _ends_in_time(state, job):
         return Refusal(503, "stopping", retry_after=_ELSEWHERE_RETRY)
     job.service = _choose_service(state, job.route)
-    job.last_event_id = headers.get(state.incoming.last_event_id)
+    job.last_event_id = headers.get(state.names.last_event_id)
     if job.route.kind is RouteKind.STREAM:
         job.prompt = parse_prompt(
-            headers.get(state.incoming.token_counts),
-            headers.get(state.incoming.prompt_parts),
+            headers.get(state.names.token_counts),
+            headers.get(state.names.prompt_parts),
         )
     return None
 
 
 def _note_own_headers(state, job):
     """Count and log headers that the client may not set; they are not sent on."""
-    found = [n for n in job.request.headers if n.lower() in state.own_headers]
+    found = [name.lower() for name in job.request.headers]
+    found = [name for name in found if name in state.own_headers]
     if not found:
         return
     for name in found:
@@ -50,7 +51,7 @@
 
 def _get_time_allowed(state, job):
     allowed = job.route.timeout
-    text = job.request.headers.get(state.incoming.deadline)
+    text = job.request.headers.get(state.names.deadline)
     if text is not None:
         try:
             allowed = min(allowed, float(text) / 1000.0)
--- a/packages/valeweir_gateway/src/valeweir_gateway/connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/connections.py
@@ -5,12 +5,14 @@
 or sent bytes that belong to no request.
 """
 
-import select
+import errno
+import os
 import socket
 import threading
 import time
 
-from .sockets import prepare_socket
+from .sockets import is_readable, prepare_socket
+from .waiting import Wake, wait_for_socket
 
 CONNECT_TIMEOUT = 0.4
 _KEPT_PER_INSTANCE = 8
@@ -46,7 +48,7 @@
                     return None
                 idle = rows.pop()
             fresh = now < idle.until and now - idle.since < longest_idle
-            if fresh and not _is_readable(idle.sock):
+            if fresh and not is_readable(idle.sock):
                 return idle.sock
             idle.sock.close()
 
@@ -82,24 +84,35 @@
             idle.sock.close()
 
 
-def connect(address, timeout=CONNECT_TIMEOUT):
-    """Return a new connected socket; raises OSError where there is none."""
+async def connect(address, client, timeout=CONNECT_TIMEOUT):
+    """Return a new connected socket; raises OSError where there is none.
+
+    Parameters
+    ----------
+    client : object
+        Whose request it is for; where it leaves there is no connection.
+    """
     host, _, port = address.rpartition(":")
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
+        sock.setblocking(False)
         prepare_socket(sock)
-        sock.settimeout(timeout)
-        sock.connect((host, int(port)))
+        code = sock.connect_ex((host, int(port)))
+        if code == errno.EINPROGRESS:
+            code = await _finish_connecting(sock, client, timeout)
+        if code:
+            raise OSError(code, os.strerror(code))
     except OSError:
         sock.close()
         raise
     return sock
 
 
-def _is_readable(sock):
-    try:
-        poller = select.poll()
-        poller.register(sock, select.POLLIN)
-        return bool(poller.poll(0))
-    except (OSError, ValueError):
-        return True
+async def _finish_connecting(sock, client, timeout):
+    until = time.monotonic() + timeout
+    wake = await wait_for_socket(sock, until, client, reading=False, writing=True)
+    if wake is Wake.DUE:
+        return errno.ETIMEDOUT
+    if wake is Wake.GONE:
+        return errno.ECANCELED
+    return sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/packages/valeweir_gateway/src/valeweir_gateway/domains.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/domains.py
@@ -9,7 +9,7 @@
 
 import threading
 
-from .connections import connect
+from .sockets import connect_blocking
 
 PROBE_INTERVAL = 0.3
 _PROBE_TIMEOUT = 0.2
@@ -51,7 +51,7 @@
 class DomainProber:
     """Connects to an instance of each domain that has fallen silent."""
 
-    def __init__(self, state, connect=connect):
+    def __init__(self, state, connect=connect_blocking):
         self._state = state
         self._connect = connect
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -4,9 +4,9 @@
 newest counts, and a peer behind a cut must hold nobody up.
 """
 
+import asyncio
 import random
 import socket
-import threading
 import time
 
 from .links import Links
@@ -22,7 +22,8 @@
 _COUNT_MEMORY = 30.0
 _ASK_INTERVAL = 1.0
 _RECEIVE_BYTES = 2_048
-_RECEIVE_TIMEOUT = 0.5
+# So that requests are not behind a flood of reports.
+_DATAGRAMS_A_TURN = 16
 _MEMBERS_A_REPORT = 10
 
 
@@ -40,37 +41,40 @@
         self._asked_at = 0.0
         self._corrected = {}
         self._most = (1, 0.0)
+        self._task = None
         self.plan = None
         self.sent_bytes = 0
 
-    def start(self, stopped):
-        """Send and receive in threads of their own."""
-        for name, run in (("report", self._send_loop), ("hear", self._receive_loop)):
-            threading.Thread(
-                target=run, args=(stopped,), name=name, daemon=True
-            ).start()
+    def start(self, loop):
+        """Send and receive on the event loop."""
+        self._sock.setblocking(False)
+        loop.add_reader(self._sock, self._receive_waiting)
+        self._task = loop.create_task(self._send())
 
-    def close(self):
-        """Close the socket."""
+    def close(self, loop):
+        """Send and receive no more."""
+        loop.remove_reader(self._sock)
+        self._task.cancel()
         self._sock.close()
 
-    def _send_loop(self, stopped):
+    async def _send(self):
         interval = _TICK
         due = self._state.clock() + interval
-        while not stopped.wait(interval):
+        while True:
+            await asyncio.sleep(interval)
             now = self._state.clock()
             self._state.pressure.note(now - due)
             self._guard(self.tick, now)
             interval = max(_TICK, _TICK_PER_LINK * len(self._links))
             due = self._state.clock() + interval
 
-    def _receive_loop(self, stopped):
-        self._sock.settimeout(_RECEIVE_TIMEOUT)
-        while not stopped.is_set():
+    def _receive_waiting(self):
+        """Take in datagrams that wait; some are left for the next turn."""
+        for _ in range(_DATAGRAMS_A_TURN):
             try:
                 data, sender = self._sock.recvfrom(_RECEIVE_BYTES)
             except OSError:
-                continue
+                return
             self._guard(self.receive, data, sender)
 
     def _guard(self, action, *args):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -11,6 +11,7 @@
 from .recording import note_refusal
 from .refusals import Refusal, send_refusal
 from .repeating import BUSY_RETRY, UNRUN, be_honest, explain, explain_late, may_repeat
+from .servers import ClientGone
 
 _LEAST_LEFT = 0.02
 _MAX_CONNECTS = 3
@@ -19,14 +20,19 @@
 def create_handler(state):
     """Return the function that serves clients' requests."""
 
-    def handle(request, reply):
+    async def handle(request, reply):
         if state.stopping:
             reply.close()
         state.enter()
         try:
-            _handle(state, request, reply)
+            await _handle(state, request, reply)
+            # A planned stop waits for what clients have not read yet.
+            await reply.flush()
+        except ClientGone:
+            # What was under way for it has been noted where it was seen.
+            pass
         except Exception as exc:
-            # One request's fault must neither end a thread nor go unanswered.
+            # One request's fault must neither end a connection nor go unanswered.
             _fail(state, request, reply, exc)
         finally:
             state.leave()
@@ -34,32 +40,42 @@
     return handle
 
 
-def _handle(state, request, reply):
+async def _handle(state, request, reply):
     job = Job(request, reply, state.catalog, state.clock())
-    job.id = request.headers.get(state.incoming.request_id, "")
-    if reply.is_gone():
-        # It has waited too long to be read; work on it would be for nobody.
-        state.overload.note_left(job.arrived)
-        _refuse(state, job, Refusal(499, "client-gone-unread"))
-        return
+    job.id = request.headers.get(state.names.request_id, "")
     refusal = check(state, job)
     if refusal is None:
-        refusal = _serve(state, job)
+        refusal = await _admit(state, job)
+    if refusal is None:
+        refusal = await _serve(state, job)
     if refusal is not None:
         _refuse(state, job, refusal)
 
 
+async def _admit(state, job):
+    """Wait for the request's turn; return a `Refusal` or None."""
+    _note_asked(state, job)
+    refusal = admission.decide_by_pressure(state, job, job.arrived)
+    if refusal is not None:
+        # Its next request may go elsewhere too.
+        job.reply.close()
+        return refusal
+    await state.intake.enter()
+    if job.reply.is_gone:
+        # It has waited too long; work on it would be for nobody.
+        state.overload.note_left(state.clock())
+        return Refusal(499, "client-gone-unread")
+    return None
+
+
 def _fail(state, request, reply, exc):
-    request_id = request.headers.get(state.incoming.request_id, "")
+    request_id = request.headers.get(state.names.request_id, "")
     state.log.note("request failed", failed=True, id=request_id, why=repr(exc))
     if reply.started:
         reply.cut()
         return
     refusal = Refusal(502, "internal", Outcome.UNKNOWN)
-    try:
-        send_refusal(reply, refusal, request_id, state.names.request_id)
-    except OSError:
-        reply.close()
+    send_refusal(reply, refusal, request_id, state.names.request_id)
 
 
 def _refuse(state, job, refusal):
@@ -70,20 +86,11 @@
     if refusal.status == 499:
         job.reply.drop()
         return
-    try:
-        send_refusal(job.reply, refusal, job.id, state.names.request_id)
-    except OSError:
-        job.reply.close()
+    send_refusal(job.reply, refusal, job.id, state.names.request_id)
 
 
-def _serve(state, job):
+async def _serve(state, job):
     """Send the request until it is answered; return a `Refusal` or None."""
-    _note_asked(state, job)
-    refusal = admission.decide_by_pressure(state, job, job.arrived)
-    if refusal is not None:
-        # Its next request may go elsewhere too.
-        job.reply.close()
-        return refusal
     connects = 0
     while True:
         now = state.clock()
@@ -92,7 +99,7 @@
         choice = _place(state, job, now)
         if isinstance(choice, Refusal):
             return be_honest(job, choice)
-        failure = attempt(state, job, choice)
+        failure = await attempt(state, job, choice)
         if failure is None:
             return None
         job.excluded.add(choice.instance.id)
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -1,10 +1,11 @@
 """One gateway: its parts made, started and stopped."""
 
+import asyncio
 import threading
 import time
 from typing import NamedTuple
+from urllib.parse import parse_qs
 
-from valeweir.servers import create_server
 from valeweir.timers import TimerService
 
 from . import metrics
@@ -15,13 +16,13 @@
 from .fleet import create_fleet
 from .forwarding import create_handler
 from .publishing import Publisher
+from .servers import create_plain_handler, create_server
 from .sockets import prepare_socket
 from .states import GatewayState
 from .stores import TopicFollower
 from .syncing import VIEW_PATH, ViewSync, encode_view, make_topic_view
 from .views import ViewKeeper
 
-_SIDE_THREADS = 4
 METRICS_PATH = "/metrics"
 _STOP_POLL = 0.05
 _LAST_WAIT = 0.1
@@ -29,6 +30,9 @@
 _STALE_CHECK = 1.0
 _CACHE_CHECK = 0.2
 _LAPSE_CHECK = 0.05
+# Seconds for binding ports, and for closing them.
+_OPEN_WAIT = 10.0
+_CLOSE_WAIT = 2.0
 
 
 class Followers(NamedTuple):
@@ -54,8 +58,9 @@
         self._keeper = ViewKeeper(state, adapter)
         self._followers = _create_followers(state, adapter, duty, self._keeper)
         self._views = create_server(
-            listen.fleet, self._create_view_handler(), threads=_SIDE_THREADS
+            listen.fleet, create_plain_handler(self._create_view_handler())
         )
+        self._loop = asyncio.new_event_loop()
         self._sync = ViewSync(
             state,
             self._followers.catalog,
@@ -69,7 +74,7 @@
         self._publisher = Publisher(state, adapter, listen.reports)
 
     def start(self):
-        """Start every thread; returns at once."""
+        """Bind every port and start; returns when clients are taken."""
         state = self.state
         state.log.start()
         state.log.note("started", settings=state.cfg.listen.clients)
@@ -78,15 +83,11 @@
             state.members.add_address(f"{seed.rpartition(':')[0]}:{port}")
         for follower in self._followers:
             follower.start(self.stopped)
-        self._fleet.start(self.stopped)
-        self._views.start_threads()
         self._sync.start(self.stopped)
         self._publisher.start(self.stopped)
         self._scout.start(self.stopped)
-        if self._metrics is not None:
-            self._metrics.start_threads()
-        self._ready.start_threads()
-        self._clients.start_threads()
+        threading.Thread(target=self._run_loop, name="loop", daemon=True).start()
+        asyncio.run_coroutine_threadsafe(self._open(), self._loop).result(_OPEN_WAIT)
         self.timers.subscribe("lapses", _LAPSE_CHECK, self._keeper.end_lapses)
         self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
         self.timers.subscribe("caches", _CACHE_CHECK, self._scout.find_new)
@@ -119,10 +120,10 @@
         """Close every port and end every thread; what is in flight is cut."""
         self.stopped.set()
         self.timers.stop()
-        for server in (self._clients, self._ready, self._views, self._metrics):
-            if server is not None:
-                server.stop()
-        self._fleet.close()
+        if not self._loop.is_running():
+            return
+        asyncio.run_coroutine_threadsafe(self._shut(), self._loop).result(_CLOSE_WAIT)
+        self._loop.call_soon_threadsafe(self._loop.stop)
 
     def reload(self, cfg):
         """Put settings in force that may change while the gateway runs."""
@@ -133,6 +134,23 @@
         retries.window = cfg.retries.window
         self.state.log.note("settings reloaded")
 
+    def _run_loop(self):
+        asyncio.set_event_loop(self._loop)
+        self._loop.run_forever()
+
+    async def _open(self):
+        """Bind every port; clients come last, when all else is there."""
+        self._fleet.start(self._loop)
+        for server in (self._views, self._metrics, self._ready, self._clients):
+            if server is not None:
+                await server.start()
+
+    async def _shut(self):
+        for server in (self._clients, self._ready, self._views, self._metrics):
+            if server is not None:
+                server.close()
+        self._fleet.close(self._loop)
+
     def _create_view_handler(self):
         def handle(request, reply):
             if request.path != VIEW_PATH or self.state.catalog is None:
@@ -169,9 +187,10 @@
         if catalog is None:
             return
         limits = catalog.limits
-        self._clients.max_request_header_size = limits.header_bytes
-        self._clients.max_request_body_size = limits.body_bytes
-        self._clients.timeout = limits.idle_timeout
+        self._clients.max_header = limits.header_bytes
+        self._clients.max_body = limits.body_bytes
+        self._clients.header_timeout = limits.header_timeout
+        self._clients.idle_timeout = limits.idle_timeout
 
 
 def create_gateway(cfg, adapter, log=None):
@@ -186,15 +205,13 @@
     clients = create_server(
         cfg.listen.clients,
         create_handler(state),
-        threads=cfg.threads,
-        timeout=15.0,
         note_refusal=note_malformed,
         prepare_socket=prepare_socket,
     )
+    clients.max_connections = cfg.descriptors.most_clients
     ready = create_server(
         cfg.listen.ready,
-        _create_ready_handler(state, adapter.ready_path),
-        threads=_SIDE_THREADS,
+        create_plain_handler(_create_ready_handler(state, adapter.ready_path)),
     )
     return Gateway(state, adapter, clients, ready)
 
@@ -222,11 +239,12 @@
         data = state.metrics.render()
         reply.send(200, [("Content-Type", metrics.CONTENT_TYPE)], data)
 
-    return create_server(address, handle, threads=_SIDE_THREADS)
+    return create_server(address, create_plain_handler(handle))
 
 
 def _get_offset(request, name):
-    text = request.query.get(name, "")
+    query = parse_qs(request.target.partition("?")[2])
+    text = query.get(name, [""])[-1]
     return int(text) if text.isdigit() else 0
 
 
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/intake.py
@@ -0,0 +1,54 @@
+"""Bounds how many new requests one turn of the event loop takes up.
+
+Deciding on a request takes the longest of all that a gateway does. After a burst
+the rest wait for the next turns, so that streams under way, reports and the
+balancer's questions are never behind all of it.
+"""
+
+import asyncio
+import collections
+
+# About 5 ms of processor time, an eighth of the interval between reports.
+_REQUESTS_A_TURN = 6
+
+
+class Intake:
+    """Lets requests pass in order of arrival, a few for each turn of the loop."""
+
+    def __init__(self):
+        self._waiting = collections.deque()
+        self._passed = 0
+        self._is_turning = False
+
+    def __len__(self):
+        return len(self._waiting)
+
+    async def enter(self):
+        """Wait for this request's turn."""
+        if self._passed < _REQUESTS_A_TURN and not self._waiting:
+            self._count()
+            return
+        fut = asyncio.get_running_loop().create_future()
+        self._waiting.append(fut)
+        self._ask_for_turn()
+        await fut
+
+    def _count(self):
+        self._passed += 1
+        self._ask_for_turn()
+
+    def _ask_for_turn(self):
+        if not self._is_turning:
+            self._is_turning = True
+            asyncio.get_running_loop().call_soon(self._turn)
+
+    def _turn(self):
+        self._is_turning = False
+        self._passed = 0
+        while self._waiting and self._passed < _REQUESTS_A_TURN:
+            fut = self._waiting.popleft()
+            if not fut.done():
+                self._passed += 1
+                fut.set_result(None)
+        if self._passed:
+            self._ask_for_turn()
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -42,7 +42,7 @@
         )
         self.inflight = self._gauge("inflight_requests", "Requests read, not answered")
         self.catalog_version = self._gauge("catalog_version", "Version in force")
-        self.lag = self._gauge("processor_lag_seconds", "How late threads wake")
+        self.lag = self._gauge("processor_lag_seconds", "How late the event loop is")
         self.live_peers = self._gauge("live_peers", "Gateways heard from lately")
         self.instances = self._gauge("upstream_instances", "Upstream instances known")
         self.report_bytes = self._gauge("report_bytes_sent", "Bytes of reports sent")
--- a/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
@@ -1,7 +1,6 @@
-"""Whether this gateway keeps up: its processor, and its threads.
+"""Whether this gateway keeps up: its processor, and the requests under way.
 
-A thread that wants to run and has to wait for others shows it: the time by
-which a short wait lasts longer than asked grows with what is queued before it.
+The lag of the event loop shows it: a timer is late by what is queued before it.
 """
 
 import collections
@@ -15,7 +14,7 @@
 _SEVERE = 0.16
 # A level ends below this part of the lag that began it.
 _RELIEVED_PART = 0.6
-# Parts of the threads taken.
+# Parts of the requests that may be under way.
 _HIGH_PART = 0.7
 _SEVERE_PART = 0.85
 # Clients that leave before they are read, within a window in seconds.
@@ -31,14 +30,14 @@
     SEVERE = 2
 
 
-def get_occupancy_level(inflight, threads):
-    """Return the level of a gateway whose threads are nearly all taken.
+def get_occupancy_level(inflight, most):
+    """Return the level of a gateway that has ``inflight`` of ``most`` requests.
 
-    Some are left for telling clients to go elsewhere at once.
+    Some room is left for telling clients to go elsewhere at once.
     """
-    if inflight > _SEVERE_PART * threads:
+    if inflight > _SEVERE_PART * most:
         return Level.SEVERE
-    if inflight > _HIGH_PART * threads:
+    if inflight > _HIGH_PART * most:
         return Level.HIGH
     return Level.NONE
 
@@ -82,7 +81,7 @@
 
 
 class Pressure:
-    """A moving mean of how late a periodic thread wakes, in seconds."""
+    """A moving mean of how late a periodic timer of the loop is, in seconds."""
 
     def __init__(self, log):
         self._log = log
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/requests.py
@@ -0,0 +1,180 @@
+"""Requests as clients send them, and the parser that reads them strictly."""
+
+from typing import NamedTuple
+
+import httptools
+
+# Headers whose value decides; given twice, two readers could choose differently.
+_SINGLE = frozenset(("host", "authorization", "content-length", "transfer-encoding"))
+_CHUNKED = "chunked"
+
+
+class Headers:
+    """Header fields in order, as they were spelled; names are found in any case."""
+
+    __slots__ = ("_by_name", "rows")
+
+    def __init__(self, rows=()):
+        self.rows = list(rows)
+        self._by_name = {}
+        for name, value in self.rows:
+            self._by_name.setdefault(name.lower(), value)
+
+    def __iter__(self):
+        return (name for name, _ in self.rows)
+
+    def add(self, name, value):
+        """Add a field; return False where one of the name decides already."""
+        key = name.lower()
+        if key in self._by_name and key in _SINGLE:
+            return False
+        self.rows.append((name, value))
+        self._by_name.setdefault(key, value)
+        return True
+
+    def get(self, name, default=None):
+        """Return the first value of a name, in any case."""
+        return self._by_name.get(name.lower(), default)
+
+
+class Request(NamedTuple):
+    """One HTTP request, its body read whole; ``target`` is as it was sent."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+    keep_alive: bool
+
+    @property
+    def path(self):
+        """Return the target without its query, as it was sent."""
+        return self.target.partition("?")[0]
+
+
+class BadRequest(Exception):
+    """What a client sent cannot be taken; ``status`` tells it why."""
+
+    def __init__(self, status, text):
+        super().__init__(text)
+        self.status = status
+        self.text = text
+
+
+class RequestParser:
+    """Collects the bytes of one connection into requests.
+
+    Parameters
+    ----------
+    limits : object
+        Has ``max_header`` and ``max_body`` in bytes.
+    on_request : callable
+        Called with each whole `Request`.
+    on_continue : callable
+        Called when the client waits for leave to send its body.
+    """
+
+    def __init__(self, limits, on_request, on_continue):
+        self._limits = limits
+        self._on_request = on_request
+        self._on_continue = on_continue
+        self._parser = httptools.HttpRequestParser(self)
+        self._fault = None
+        self._clear()
+
+    @property
+    def is_reading(self):
+        """Return whether part of a request has come."""
+        return self._begun
+
+    @property
+    def is_in_body(self):
+        """Return whether the head of a request has come, and its body has not."""
+        return self._begun and self._has_head
+
+    def feed(self, data):
+        """Take in bytes; raises `BadRequest`, after which nothing more is read."""
+        self._check_head(len(data))
+        while data:
+            data = self._parse(data)
+
+    def _parse(self, data):
+        """Let the parser take bytes; return those that it left."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as exc:
+            # The offer to change the protocol is not taken up.
+            self._parser = httptools.HttpRequestParser(self)
+            return data[exc.args[0] :]
+        except httptools.HttpParserError as exc:
+            raise self._fault or BadRequest(400, str(exc)) from exc
+        return b""
+
+    def _check_head(self, count):
+        """Bound a head of which the parser holds back an endless field."""
+        if self._begun and not self._has_head:
+            self._pending += count
+            if self._pending > self._limits.max_header:
+                raise BadRequest(431, "the head is too large")
+
+    def on_message_begin(self):  # noqa: D102  (names are the parser's)
+        self._clear()
+        self._begun = True
+
+    def on_url(self, part):  # noqa: D102
+        self._target += part
+        self._count(len(part))
+
+    def on_header(self, name, value):  # noqa: D102
+        self._count(len(name) + len(value) + 4)
+        name = name.decode("latin-1")
+        value = (value or b"").strip(b" \t").decode("latin-1")
+        if not self._headers.add(name, value):
+            self._fail(400, f"{name} is given twice")
+
+    def on_headers_complete(self):  # noqa: D102
+        self._has_head = True
+        encoding = self._headers.get("Transfer-Encoding", _CHUNKED)
+        if encoding.lower() != _CHUNKED:
+            self._fail(501, "the transfer encoding is not known")
+        length = self._headers.get("Content-Length", "0")
+        if not length.isdigit() or int(length) > self._limits.max_body:
+            self._fail(413, "the body is too large")
+        if self._headers.get("Expect", "").lower() == "100-continue":
+            self._on_continue()
+
+    def on_body(self, part):  # noqa: D102
+        self._size += len(part)
+        if self._size > self._limits.max_body:
+            self._fail(413, "the body is too large")
+        self._parts.append(part)
+
+    def on_message_complete(self):  # noqa: D102
+        request = Request(
+            self._parser.get_method().decode("latin-1"),
+            self._target.decode("latin-1"),
+            self._headers,
+            b"".join(self._parts),
+            self._parser.should_keep_alive(),
+        )
+        self._clear()
+        self._on_request(request)
+
+    def _clear(self):
+        self._begun = False
+        self._has_head = False
+        self._target = b""
+        self._headers = Headers()
+        self._head_size = 0
+        self._pending = 0
+        self._parts = []
+        self._size = 0
+
+    def _count(self, size):
+        self._head_size += size
+        if self._head_size > self._limits.max_header:
+            self._fail(431, "the head is too large")
+
+    def _fail(self, status, text):
+        self._fault = BadRequest(status, text)
+        raise self._fault
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -5,11 +5,16 @@
 import msgspec
 from valeweir.exceptions import SettingsError
 
-# Measured: 41 MB with nothing under way, 97 to 150 MB with 400 requests.
-_BASE_MB = 60.0
-_THREAD_MB = 0.2
-_LEAST_THREADS = 64
-_MOST_THREADS = 1_200
+# Room for a gateway with nothing under way, and for each request under way.
+_BASE_MB = 80.0
+_REQUEST_MB = 0.1
+# Descriptors for files, listening sockets and calls of the store, as the platform
+# counts; of the others each request under way takes one beside its client's.
+_FILE_DESCRIPTORS = 200
+_CLIENTS_PART = 0.65
+_LEAST_INFLIGHT = 64
+# Each takes two descriptors, of which the smallest hosts have 4,000.
+_MOST_INFLIGHT = 1_200
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -87,6 +92,17 @@
     limit_mb: float = 256.0
 
 
+class Descriptors(msgspec.Struct, frozen=True):
+    """How many descriptors this process may have open."""
+
+    limit: int = 4096
+
+    @property
+    def most_clients(self):
+        """Return how many connections of clients may be open."""
+        return int((self.limit - _FILE_DESCRIPTORS) * _CLIENTS_PART)
+
+
 class Streams(msgspec.Struct, frozen=True):
     """How streams are passed on.
 
@@ -108,16 +124,17 @@
     retries: Retries = Retries()
     stop: Stop = Stop()
     sharing: Sharing = Sharing()
+    descriptors: Descriptors = Descriptors()
     streams: Streams = Streams()
     upstreams: Upstreams = Upstreams()
     processor: Processor = Processor()
     memory: Memory = Memory()
 
     @property
-    def threads(self):
-        """Return how many requests may be under way, each in a thread."""
-        room = (self.memory.limit_mb - _BASE_MB) / _THREAD_MB
-        return int(min(_MOST_THREADS, max(_LEAST_THREADS, room)))
+    def most_inflight(self):
+        """Return how many requests may be under way."""
+        room = (self.memory.limit_mb - _BASE_MB) / _REQUEST_MB
+        return int(min(_MOST_INFLIGHT, max(_LEAST_INFLIGHT, room)))
 
 
 def load_settings(path):
--- a/packages/valeweir_gateway/src/valeweir_gateway/sockets.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/sockets.py
@@ -1,5 +1,6 @@
 """Options that every TCP socket of the gateway gets."""
 
+import select
 import socket
 
 USER_TIMEOUT_MS = 1500
@@ -15,3 +16,19 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_SECONDS)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+def is_readable(sock):
+    """Return whether bytes, or the end, of a socket wait to be read."""
+    try:
+        poller = select.poll()
+        poller.register(sock, select.POLLIN)
+        return any(event & select.POLLIN for _, event in poller.poll(0))
+    except (OSError, ValueError):
+        return True
+
+
+def connect_blocking(address, timeout):
+    """Return a new connected socket for a thread that may wait; raises OSError."""
+    host, _, port = address.rpartition(":")
+    return socket.create_connection((host, int(port)), timeout)
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -1,5 +1,6 @@
 """What the parts of one gateway share."""
 
+import asyncio
 import random
 import threading
 import time
@@ -9,6 +10,7 @@
 from .domains import Domains
 from .goals import RecentGoals
 from .headers import HeaderNames, get_own_headers, get_replaced_headers
+from .intake import Intake
 from .lapses import Lapses
 from .loads import Loads, Reads
 from .members import Member, Members
@@ -27,15 +29,13 @@
     """
 
     def __init__(
-        self, cfg, log, names=None, clock=time.monotonic, seed=None, pause=time.sleep
+        self, cfg, log, names=None, clock=time.monotonic, seed=None, pause=asyncio.sleep
     ):
         names = names or HeaderNames()
         self.cfg = cfg
         self.log = log
         self.metrics = GatewayMetrics()
         self.names = names
-        # The HTTP library gives the names of request headers in title case.
-        self.incoming = HeaderNames(*(name.title() for name in names))
         self.clock = clock
         self.pause = pause
         self.rng = random.Random(seed)
@@ -48,6 +48,7 @@
         self.bad_records = 0
         self.loads = Loads()
         self.reads = Reads()
+        self.intake = Intake()
         self.goals = RecentGoals()
         self.pressure = Pressure(log)
         self.overload = Overload(log)
@@ -76,7 +77,7 @@
 
     def get_pressure(self):
         """Return the `pressure.Level` of this gateway."""
-        occupancy = get_occupancy_level(self._inflight, self.cfg.threads)
+        occupancy = get_occupancy_level(self._inflight, self.cfg.most_inflight)
         return max(self.pressure.level, occupancy)
 
     def is_ready(self):
--- a/packages/valeweir_gateway/src/valeweir_gateway/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/streams.py
@@ -1,14 +1,16 @@
 """Passing a stream of events on, whole event by whole event."""
 
+from .answers import Data, End
 from .events import EventSplitter, is_later
-from .exchanges import Data, End, Failure, Fault
+from .exchanges import Failure, Fault
+from .servers import ClientGone
 
 # The rest of the time that an event may be held is for the network and for a
 # processor that is busy.
 _RESTING_PART = 0.3
 
 
-def forward_stream(state, job, exchange, head, work):
+async def forward_stream(state, job, exchange, head, work):
     """Pass events on as they come; return None when whole, or a `Failure`.
 
     Only whole events go out, so that a stream which breaks can be taken up
@@ -19,44 +21,45 @@
     splitter = EventSplitter()
     rest = state.cfg.streams.max_delay_ms / 1000.0 * _RESTING_PART
     while True:
-        item = exchange.read()
+        item = await exchange.read()
         if isinstance(item, Failure):
             return item
         if isinstance(item, End):
-            return _end(state, job, head, splitter)
+            return await _end(job, head, splitter)
         assert isinstance(item, Data)
         state.loads.note_progress(work, state.clock())
         blocks = splitter.feed(item.data)
         while (more := exchange.read_ready()) is not None:
             blocks += splitter.feed(more.data)
-        failure = _pass_on(job, head, blocks)
+        failure = await _pass_on(job, head, blocks)
         if failure is not None:
             return failure
-        if blocks and not exchange.is_over():
-            state.pause(rest)
+        if blocks and not exchange.is_over:
+            await state.pause(rest)
 
 
-def _pass_on(job, head, blocks):
+async def _pass_on(job, head, blocks):
     later = [block for block in blocks if is_later(block.id, job.last_event_id)]
     if not later:
         return None
     try:
         _start(job, head)
-        job.reply.write(b"".join(block.data for block in later))
-    except OSError:
+        await job.reply.write(b"".join(block.data for block in later))
+    except ClientGone:
         return Failure(Fault.GONE, "the client left")
     for block in later:
         job.last_event_id = block.id or job.last_event_id
     return None
 
 
-def _end(state, job, head, splitter):
+async def _end(job, head, splitter):
     try:
         _start(job, head)
         if splitter.has_rest:
-            job.reply.write(splitter.take_rest())
-    except OSError:
+            await job.reply.write(splitter.take_rest())
+    except ClientGone:
         return Failure(Fault.GONE, "the client left")
+    job.reply.end()
     return None
 
 
