--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -54,7 +54,7 @@
 
 
 def _note_reads(state, job, choice, now):
-    shared = job.prompt.parts[:-1]
+    shared = job.prompt.shared
     instance_id = choice.instance.id
     known = state.loads.is_cached
     state.reads.add(
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -117,18 +117,15 @@
 def _place(state, job, now):
     """Return the `Choice` for the next send, or a `Refusal`."""
     ready = state.directory.get_ready(job.service)
-    usable = [
-        row
-        for row in ready
-        if row.id not in job.excluded and state.loads.is_usable(row.id, now)
-    ]
-    usable = [r for r in usable if not state.loads.is_silent(r.id, now)] or usable
+    if job.excluded:
+        ready = [row for row in ready if row.id not in job.excluded]
+    usable = state.loads.pick_usable(ready, now)
     cut = state.domains.get_cut(state.members.get_silent_domains(now), now)
     if cut:
         usable = [row for row in usable if row.zone not in cut] or usable
     if not usable:
         # Instances that were set aside may still be better than none.
-        usable = [row for row in ready if row.id not in job.excluded]
+        usable = ready
     if not usable:
         return Refusal(503, "no-upstream", retry_after=BUSY_RETRY)
     if job.prompt is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -104,6 +104,24 @@
         at = self._parts.get(get_digest(part_id), {}).get(instance_id)
         return at is not None and now - at < _CACHE_LIFETIME
 
+    def count_held(self, parts, now):
+        """Return {instance id: tokens} of the leading parts probably held there."""
+        held = {}
+        leading = None
+        oldest = now - _CACHE_LIFETIME
+        for part in parts:
+            holders = self._parts.get(get_digest(part.id))
+            if not holders:
+                break
+            if leading is None:
+                rows = list(holders.items())
+                leading = [name for name, at in rows if at > oldest]
+            else:
+                leading = [name for name in leading if holders.get(name, 0.0) > oldest]
+            for name in leading:
+                held[name] = held.get(name, 0) + part.tokens
+        return held
+
     def is_listed(self, instance_id):
         """Return whether it is known what the instance held at some time."""
         return instance_id in self._listed
@@ -126,15 +144,12 @@
             while len(self._parts) > _MAX_PARTS:
                 self._parts.pop(next(iter(self._parts)))
 
-    def estimate_wait(self, instance_id, tokens, now):
+    def estimate_wait(self, load, tokens):
         """Return seconds until a request with ``tokens`` to read gives an event."""
-        load = self.get(instance_id, now)
-        ahead = load.unread + load.remote_unread
-        return self.estimate_alone(instance_id, ahead + tokens, now)
+        return self.estimate_alone(load, load.unread + load.remote_unread + tokens)
 
-    def estimate_alone(self, instance_id, tokens, now):
+    def estimate_alone(self, load, tokens):
         """Return the same for an instance that has nothing else to read."""
-        load = self.get(instance_id, now)
         return self.base + load.slowness * tokens / self.rate
 
     def start(self, instance_id, tokens, now):
@@ -203,6 +218,12 @@
         """Note an end that tells nothing about the instance."""
         self.get(instance_id, now).probing = False
 
+    def pick_usable(self, instances, now):
+        """Return the instances that are neither set aside nor silent, if any."""
+        usable = [row for row in instances if self.is_usable(row.id, now)]
+        heard = [row for row in usable if not self.is_silent(row.id, now)]
+        return heard or usable
+
     def is_usable(self, instance_id, now):
         """Return whether a request may go there."""
         load = self.get(instance_id, now)
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement.py
@@ -1,5 +1,6 @@
 """Which instance serves a request."""
 
+import functools
 from typing import NamedTuple
 
 import xxhash
@@ -12,6 +13,10 @@
 _LEAST_MOVE = 500
 _MOST_HOLDERS = 4
 _REMOTE_ZONE_WAIT = 0.002
+# Multiplicative hashing: 2 ** 64 divided by the golden ratio, and odd.
+_MIXER = 0x9E3779B97F4A7C15
+_MASK = (1 << 64) - 1
+_SEEDS = 8_192
 
 
 class Choice(NamedTuple):
@@ -29,11 +34,17 @@
     source: object = None
 
 
+@functools.lru_cache(_SEEDS)
+def _get_seed(name):
+    return xxhash.xxh64_intdigest(name.encode())
+
+
 def rank_instances(key, instances):
     """Return the instances in rendezvous order for ``key``, best first."""
+    seed = _get_seed(key)
     return sorted(
         instances,
-        key=lambda row: xxhash.xxh64_intdigest(f"{key}|{row.id}".encode()),
+        key=lambda row: (seed ^ _get_seed(row.id)) * _MIXER & _MASK,
         reverse=True,
     )
 
@@ -48,22 +59,23 @@
     taking it from an instance that holds it costs less.
     """
     ranked = rank_instances(prompt.home, instances)
-    cached = [
-        count_cached(prompt, instance, rank == 0, loads, now)
-        for rank, instance in enumerate(ranked)
-    ]
-    holders = find_holders(prompt, ranked, loads, now, engine)
+    held = loads.count_held(prompt.shared, now)
+    holders = find_holders(held, ranked, engine)
     best = None
     for rank, instance in enumerate(ranked):
-        source = pick_source(instance, cached[rank], holders)
-        option = _weigh(prompt, instance, cached[rank], source, loads, now, engine)
+        cached = held.get(instance.id, 0)
+        if rank == 0 and not loads.is_listed(instance.id):
+            cached = prompt.tokens - prompt.own
+        source = pick_source(instance, cached, holders) if holders else None
+        option = _weigh(prompt, instance, cached, source, loads, now, engine)
         score = option.score + _RANK_WAIT * rank
         if best is None or score < best[0]:
             best = (score, rank, instance, option, source)
     if best is None:
         return None
     _, rank, instance, option, source = best
-    alone = loads.estimate_alone(instance.id, option.unread, now) + option.move
+    load = loads.get(instance.id, now)
+    alone = loads.estimate_alone(load, option.unread) + option.move
     reason = "home" if rank == 0 else "spill"
     if source is not None:
         reason = "fetch"
@@ -87,21 +99,20 @@
         held = source[1]
         move = estimate_move(held - cached, source[0].zone != instance.zone, engine)
     unread = max(1, prompt.tokens - held)
-    wait = loads.estimate_wait(instance.id, unread, now) + move
+    wait = loads.estimate_wait(loads.get(instance.id, now), unread) + move
     reread = max(0, unread - prompt.own)
     price = _REREAD_WEIGHT * reread / loads.rate + _MOVE_WEIGHT * move
     return _Option(unread, wait, move, wait + price)
 
 
-def find_holders(prompt, instances, loads, now, engine):
+def find_holders(held, instances, engine):
     """Return (instance, tokens held), the most first, where parts can be moved.
 
     Nothing is assumed here: what is taken from an instance must be known.
     """
-    if engine is None or engine.link_rate <= 0.0:
+    if not held or engine is None or engine.link_rate <= 0.0:
         return []
-    rows = [(row, count_cached(prompt, row, False, loads, now)) for row in instances]
-    rows = [row for row in rows if row[1] > 0]
+    rows = [(row, held[row.id]) for row in instances if row.id in held]
     return sorted(rows, key=lambda row: row[1], reverse=True)[:_MOST_HOLDERS]
 
 
@@ -123,17 +134,6 @@
     return _MOVE_BASE + seconds * (2.0 if remote else 1.0)
 
 
-def count_cached(prompt, instance, is_home, loads, now):
-    """Return the leading shared tokens that the instance probably holds."""
-    assumed = is_home and not loads.is_listed(instance.id)
-    held = 0
-    for part in prompt.parts[:-1]:
-        if not assumed and not loads.is_cached(part.id, instance.id, now):
-            break
-        held += part.tokens
-    return held
-
-
 def choose_instance(instances, loads, zone, now, rng):
     """Return the `Choice` among instances of a plain service, or None.
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -5,6 +5,7 @@
 not fit, the smallest are left out.
 """
 
+import functools
 from enum import StrEnum
 
 import msgspec
@@ -13,6 +14,8 @@
 VERSION = 2
 MAX_BYTES = 1_400
 _KEPT_PART = 0.75
+# Digests kept: of the parts, instances and accounts in use at a time.
+_DIGESTS = 32_768
 
 
 class Role(StrEnum):
@@ -69,6 +72,7 @@
 _decoder = msgspec.msgpack.Decoder(Report)
 
 
+@functools.lru_cache(_DIGESTS)
 def get_digest(name):
     """Return a 32-bit digest that stands for a name on the wire."""
     return xxhash.xxh32_intdigest(name.encode())
