--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -1,6 +1,6 @@
 """Whether a model request goes out now or is told when to come back."""
 
-from .pressure import Level
+from .pressure import Level, get_intake_level
 from .refusals import Refusal
 
 # Parts of the goal: for the whole wait, and for what is ahead of a long prompt.
@@ -8,7 +8,7 @@
 _AHEAD_PART = 0.2
 # Times to come back, in seconds.
 _LEAST_RETRY = 0.3
-_ELSEWHERE_RETRY = 0.1
+_ELSEWHERE_RETRY = 0.02
 _CAPPED_RETRY = 1.0
 _RETURNED_PART = 0.97
 _RETURNED_FACTOR = 0.9
@@ -45,7 +45,8 @@
     Who has had more than its share goes first. Another gateway may have time,
     and a client that comes back reaches another one.
     """
-    level = state.get_pressure()
+    wait = state.intake.estimate_wait()
+    level = max(state.get_pressure(), get_intake_level(wait, job.route.goal))
     if level is Level.NONE or is_returned(job):
         return None
     if level is Level.HIGH and get_factor(state, job, now) >= 1.0:
@@ -53,6 +54,7 @@
     inputs = {
         "lag_ms": round(state.pressure.lag * 1000),
         "inflight": state.inflight,
+        "intake_ms": round(wait * 1000),
         "level": level.name.lower(),
     }
     return Refusal(503, "overloaded", retry_after=_ELSEWHERE_RETRY, inputs=inputs)
--- a/packages/valeweir_gateway/src/valeweir_gateway/intake.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/intake.py
@@ -7,22 +7,36 @@
 
 import asyncio
 import collections
+import time
 
 # About 5 ms of processor time, an eighth of the interval between reports.
 _REQUESTS_A_TURN = 6
 
 
+# Part of the mean time a request that a new figure makes up.
+_MEMORY = 0.1
+# Seconds a request to begin with.
+_FIRST_TIME = 0.001
+
+
 class Intake:
     """Lets requests pass in order of arrival, a few for each turn of the loop."""
 
-    def __init__(self):
+    def __init__(self, clock=time.monotonic):
+        self._clock = clock
         self._waiting = collections.deque()
+        self._time = _FIRST_TIME
+        self._turned = None
         self._passed = 0
         self._is_turning = False
 
     def __len__(self):
         return len(self._waiting)
 
+    def estimate_wait(self):
+        """Return seconds until a request that comes now has its turn."""
+        return len(self._waiting) * self._time
+
     async def enter(self):
         """Wait for this request's turn."""
         if self._passed < _REQUESTS_A_TURN and not self._waiting:
@@ -42,8 +56,17 @@
             self._is_turning = True
             asyncio.get_running_loop().call_soon(self._turn)
 
+    def _learn(self):
+        """Learn the time a request from that between turns with some waiting."""
+        now = self._clock()
+        if self._turned is not None and self._waiting and self._passed:
+            spent = (now - self._turned) / self._passed
+            self._time += _MEMORY * (spent - self._time)
+        self._turned = now
+
     def _turn(self):
         self._is_turning = False
+        self._learn()
         self._passed = 0
         while self._waiting and self._passed < _REQUESTS_A_TURN:
             fut = self._waiting.popleft()
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -59,12 +59,21 @@
 class Work:
     """One request at an instance, from its send to its end."""
 
-    __slots__ = ("ahead", "first", "instance_id", "is_read", "sent", "tokens")
+    __slots__ = (
+        "ahead",
+        "first",
+        "instance_id",
+        "is_read",
+        "running",
+        "sent",
+        "tokens",
+    )
 
-    def __init__(self, instance_id, tokens, ahead, sent):
+    def __init__(self, instance_id, tokens, ahead, running, sent):
         self.instance_id = instance_id
         self.tokens = tokens
         self.ahead = ahead
+        self.running = running
         self.sent = sent
         self.first = None
         self.is_read = False
@@ -159,11 +168,12 @@
             if load.active == 0:
                 load.heard = now
             ahead = load.unread + load.remote_unread
+            running = load.active + load.remote_active
             load.unread += tokens
             load.active += 1
             if load.until and now >= load.until:
                 load.probing = True
-            return Work(instance_id, tokens, ahead, now)
+            return Work(instance_id, tokens, ahead, running, now)
 
     def note_progress(self, work, now):
         """Note that something of the answer has come."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
@@ -17,6 +17,9 @@
 # Parts of the requests that may be under way.
 _HIGH_PART = 0.7
 _SEVERE_PART = 0.85
+# Parts of a request's goal that it may wait to be looked at.
+_HIGH_WAIT_PART = 0.1
+_SEVERE_WAIT_PART = 0.2
 # Clients that leave before they are read, within a window in seconds.
 _LEFT_MANY = 8
 _LEFT_WINDOW = 1.0
@@ -42,6 +45,18 @@
     return Level.NONE
 
 
+def get_intake_level(wait, goal):
+    """Return the level of a gateway at which a request waits for its turn.
+
+    A client that is sent elsewhere at once has most of its goal left there.
+    """
+    if wait > _SEVERE_WAIT_PART * goal:
+        return Level.SEVERE
+    if wait > _HIGH_WAIT_PART * goal:
+        return Level.HIGH
+    return Level.NONE
+
+
 class Overload:
     """Whether this gateway should get no more clients for now.
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -52,6 +52,7 @@
         expected_ms=to_milliseconds(choice.wait),
         unread=choice.tokens,
         ahead=work.ahead,
+        running=work.running,
         goal_ms=to_milliseconds(job.route.goal),
         first_sent_ms=_get_first_sent(job),
         first_ms=to_milliseconds(work.first or 0.0),
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -16,6 +16,7 @@
 )
 from valeweir_gateway.directory import Directory, Instance
 from valeweir_gateway.goals import RecentGoals
+from valeweir_gateway.intake import Intake
 from valeweir_gateway.loads import Loads
 from valeweir_gateway.members import Member, Members
 from valeweir_gateway.placement import Choice
@@ -49,6 +50,7 @@
     )
     state = SimpleNamespace(
         inflight=0,
+        intake=Intake(),
         catalog=catalog,
         directory=Directory(),
         loads=Loads(),
@@ -127,6 +129,42 @@
         self.assertIsNone(self.decide(0.1, account=None))
 
 
+class TestWaitForATurn(unittest.TestCase):
+    """A client that would wait to be looked at is sent elsewhere at once."""
+
+    def decide(self, wait, factor_used_up=False, allowed=10.0):
+        state = make_state()
+        state.intake = SimpleNamespace(estimate_wait=lambda: wait)
+        if factor_used_up:
+            for account, begun in (("one", True), ("two", False)):
+                for _ in range(20):
+                    state.shares.note_asked(account, 1_000, NOW)
+                    if begun:
+                        state.shares.note_begun(account, 1_000, NOW)
+        account = state.catalog.accounts["one"]
+        job = SimpleNamespace(
+            route=ROUTE, catalog=state.catalog, account=account, allowed=allowed
+        )
+        return decide_by_pressure(state, job, NOW)
+
+    def test_table(self):
+        goal = ROUTE.goal
+        cases = {
+            "no wait": (0.0, False, 10.0, False),
+            "some": (0.15 * goal, False, 10.0, False),
+            "some, share used up": (0.15 * goal, True, 10.0, True),
+            "long": (0.25 * goal, False, 10.0, True),
+            "long, came back": (0.25 * goal, False, 1.0, False),
+        }
+        for name, (wait, used_up, allowed, refused) in cases.items():
+            with self.subTest(name):
+                refusal = self.decide(wait, used_up, allowed)
+                self.assertEqual(refusal is not None, refused)
+                if refused:
+                    self.assertEqual(refusal.code, "overloaded")
+                    self.assertLess(refusal.retry_after, 0.1 * goal)
+
+
 class TestPressure(unittest.TestCase):
     def setUp(self):
         self.state = make_state()
--- a/packages/valeweir_gateway/tests/test_servers.py
+++ b/packages/valeweir_gateway/tests/test_servers.py
@@ -3,6 +3,7 @@
 import threading
 import time
 import unittest
+from types import SimpleNamespace
 
 from valeweir_gateway.intake import Intake
 from valeweir_gateway.servers import ClientGone, create_server
@@ -260,6 +261,23 @@
         self.assertEqual(passed, list(range(50)))
         self.assertLessEqual(max(turns), 12)
 
+    def test_the_wait_follows_from_the_time_that_others_took(self):
+        clock = SimpleNamespace(now=5.0)
+
+        async def run():
+            intake = Intake(lambda: clock.now)
+            tasks = [asyncio.ensure_future(intake.enter()) for _ in range(300)]
+            self.assertEqual(intake.estimate_wait(), 0.0)
+            for _ in range(20):
+                await asyncio.sleep(0)
+                clock.now += 0.03
+            wait, left = intake.estimate_wait(), len(intake)
+            await asyncio.gather(*tasks)
+            return wait / left
+
+        # Six pass in a turn of 30 ms.
+        self.assertAlmostEqual(asyncio.run(run()), 0.005, delta=0.001)
+
     def test_one_that_was_cancelled_holds_nobody_up(self):
         async def run():
             intake = Intake()
