--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -15,6 +15,9 @@
 
 _LEAST_LEFT = 0.02
 _MAX_CONNECTS = 3
+# Part of the goal that a request may wait for others at an engine before more
+# engines are looked at.
+_PATIENCE_PART = 0.15
 
 
 def create_handler(state):
@@ -132,7 +135,8 @@
         zone = state.cfg.domain
         return choose_instance(usable, state.loads, zone, now, state.rng)
     engine = job.catalog.services[job.service].engine
-    choice = choose_engine(job.prompt, usable, state.loads, now, engine)
+    patience = _PATIENCE_PART * job.route.goal
+    choice = choose_engine(job.prompt, usable, state.loads, now, engine, patience)
     if job.sends == 0:
         refusal = admission.decide(state, job, choice, now)
         if refusal is not None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement.py
@@ -7,6 +7,9 @@
 
 _REREAD_WEIGHT = 3.5
 _RANK_WAIT = 0.005
+# Instances weighed at first, and more at a time. Two would spread load nearly as
+# well as all with news that were never old; four leave room for slow ones.
+_WIDTH = 4
 # Against the price of reading the same tokens anew.
 _MOVE_WEIGHT = 16.0
 _MOVE_BASE = 0.005
@@ -49,7 +52,7 @@
     )
 
 
-def choose_engine(prompt, instances, loads, now, engine=None):
+def choose_engine(prompt, instances, loads, now, engine=None, patience=0.0):
     """Return the `Choice` with the least wait and price, or None.
 
     A shared part is taken as read where the instance, this gateway or a peer
@@ -57,52 +60,73 @@
     hashing names, since all gateways prefer that one. Reading it anew costs
     capacity that others wait for, so it weighs more than the time it takes;
     taking it from an instance that holds it costs less.
+
+    What is known of the instances' work is some tens of milliseconds old, and
+    the same at every gateway. If each took the best of all, they would all send
+    to the same one until the next reports. So only a few are weighed, which
+    differ from prompt to prompt: the first in rendezvous order and those that
+    hold most of it. More are weighed only while the wait for others is longer
+    than ``patience``, in seconds.
     """
-    ranked = rank_instances(prompt.home, instances)
+    ranked = rank_instances(prompt.home or prompt.own_id, instances)
     held = loads.count_held(prompt.shared, now)
     holders = find_holders(held, ranked, engine)
-    best = None
-    for rank, instance in enumerate(ranked):
-        cached = held.get(instance.id, 0)
-        if rank == 0 and not loads.is_listed(instance.id):
-            cached = prompt.tokens - prompt.own
-        source = pick_source(instance, cached, holders) if holders else None
-        option = _weigh(prompt, instance, cached, source, loads, now, engine)
-        score = option.score + _RANK_WAIT * rank
-        if best is None or score < best[0]:
-            best = (score, rank, instance, option, source)
-    if best is None:
+    weigh = functools.partial(
+        _weigh, prompt, held=held, holders=holders, loads=loads, now=now, engine=engine
+    )
+    options = [weigh(rank, row) for rank, row in enumerate(ranked[:_WIDTH])]
+    options += [weigh(_WIDTH, row) for row, _ in holders if row not in ranked[:_WIDTH]]
+    weighed = _WIDTH
+    while weighed < len(ranked) and _get_least_queue(options) > patience:
+        more = ranked[weighed : weighed + _WIDTH]
+        options += [weigh(weighed + place, row) for place, row in enumerate(more)]
+        weighed += _WIDTH
+    if not options:
         return None
-    _, rank, instance, option, source = best
-    load = loads.get(instance.id, now)
-    alone = loads.estimate_alone(load, option.unread) + option.move
-    reason = "home" if rank == 0 else "spill"
-    if source is not None:
-        reason = "fetch"
-    found = source[0] if source else None
-    return Choice(instance, option.unread, option.wait, alone, reason, found)
+    best = min(options, key=lambda option: option.score)
+    return Choice(
+        best.instance, best.unread, best.wait, best.alone, best.reason, best.source
+    )
+
+
+def _get_least_queue(options):
+    """Return the least time that a request waits for others, in seconds."""
+    return min(option.wait - option.alone for option in options)
 
 
 class _Option(NamedTuple):
-    """An instance weighed; ``move`` is the time to take parts over, in seconds."""
+    """An instance weighed; times in seconds, ``source`` to take parts from."""
 
+    instance: object
     unread: int
     wait: float
-    move: float
+    alone: float
     score: float
+    reason: str
+    source: object
 
 
-def _weigh(prompt, instance, cached, source, loads, now, engine):
+def _weigh(prompt, rank, instance, held, holders, loads, now, engine):
+    cached = held.get(instance.id, 0)
+    if rank == 0 and not loads.is_listed(instance.id):
+        cached = prompt.tokens - prompt.own
+    source = pick_source(instance, cached, holders) if holders else None
+    reason = "home" if rank == 0 else "spill"
     move = 0.0
-    held = cached
     if source is not None:
-        held = source[1]
-        move = estimate_move(held - cached, source[0].zone != instance.zone, engine)
-    unread = max(1, prompt.tokens - held)
-    wait = loads.estimate_wait(loads.get(instance.id, now), unread) + move
+        reason = "fetch"
+        remote = source[0].zone != instance.zone
+        move = estimate_move(source[1] - cached, remote, engine)
+        cached = source[1]
+    unread = max(1, prompt.tokens - cached)
+    load = loads.get(instance.id, now)
+    wait = loads.estimate_wait(load, unread) + move
+    alone = loads.estimate_alone(load, unread) + move
     reread = max(0, unread - prompt.own)
     price = _REREAD_WEIGHT * reread / loads.rate + _MOVE_WEIGHT * move
-    return _Option(unread, wait, move, wait + price)
+    score = wait + price + _RANK_WAIT * rank
+    found = source[0] if source else None
+    return _Option(instance, unread, wait, alone, score, reason, found)
 
 
 def find_holders(held, instances, engine):
--- a/packages/valeweir_gateway/src/valeweir_gateway/prompts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/prompts.py
@@ -22,6 +22,11 @@
         """Return the id of the last shared part, or "" where none is shared."""
         return self.parts[-2].id if len(self.parts) > 1 else ""
 
+    @property
+    def own_id(self):
+        """Return the id of the part that is not shared, or "" for none."""
+        return self.parts[-1].id if self.parts else ""
+
     @property
     def shared(self):
         """Return the parts that other requests may share, in order."""
--- a/packages/valeweir_gateway/tests/test_placement.py
+++ b/packages/valeweir_gateway/tests/test_placement.py
@@ -1,4 +1,5 @@
 import collections
+import functools
 import random
 import unittest
 
@@ -101,6 +102,40 @@
         self.assertEqual(held, {second.id: 8_000})
         self.assertEqual(self.loads.count_held(self.prompt.shared, NOW + 1_000), {})
 
+    def test_gateways_with_the_same_news_do_not_all_choose_the_same(self):
+        instances = make_instances(30)
+        for row in instances[1:]:
+            self.loads.start(row.id, 3_000, NOW)
+        chosen = set()
+        for number in range(40):
+            parts = (Part(f"p{number}", 8_000), Part("own", 2_000))
+            prompt = Prompt(10_000, 10, parts)
+            choice = choose_engine(prompt, instances, self.loads, NOW, None, 0.2)
+            chosen.add(choice.instance.id)
+        self.assertGreater(len(chosen), 15)
+
+    def test_more_are_weighed_where_the_first_are_busy(self):
+        instances = make_instances(30)
+        ranked = rank_instances("shared", instances)
+        idle = ranked[17]
+        for row in instances:
+            if row != idle:
+                self.loads.start(row.id, 60_000, NOW)
+        choose = functools.partial(
+            choose_engine, self.prompt, instances, self.loads, NOW, None
+        )
+        self.assertEqual(choose(patience=0.1).instance, idle)
+        self.assertIn(choose(patience=10.0).instance, ranked[:4])
+
+    def test_prompts_that_share_nothing_are_spread(self):
+        instances = make_instances(30)
+        prompts = [Prompt(9, 1, (Part(f"own-{n}", 9),)) for n in range(40)]
+        chosen = {
+            choose_engine(prompt, instances, self.loads, NOW, None, 1.0).instance.id
+            for prompt in prompts
+        }
+        self.assertGreater(len(chosen), 15)
+
     def test_only_leading_parts_count(self):
         parts = [Part("a", 100), Part("b", 200), Part("c", 400)]
         first, second, third, _ = self.instances
