--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -11,7 +11,7 @@
 _ELSEWHERE_RETRY = 0.02
 _CAPPED_RETRY = 1.0
 _RETURNED_PART = 0.97
-_RETURNED_FACTOR = 0.9
+_RETURNED_FACTOR = 1.3
 _RETRY_PART = 1 / 3
 
 
@@ -90,8 +90,9 @@
         return 1.0
     rate = job.catalog.limits.tokens_per_second
     factor = state.shares.get_factor(job.account.name, rate, now)
-    if is_returned(job):
-        # Refusing it again would make its client lose the whole request.
+    if is_returned(job) and factor >= 1.0:
+        # Refusing it again would make its client lose the whole request. Who has
+        # had more than its share gains no more of it by coming back.
         return max(factor, _RETURNED_FACTOR)
     return factor
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -15,9 +15,9 @@
 from .reports import VERSION, Report, Role, decode_report, encode_report, get_digest
 from .sums import Totals
 
-_TICK = 0.04
+_TICK = 0.02
 # Seconds of an interval for each link, so that a relay of many sends less often.
-_TICK_PER_LINK = 0.0025
+_TICK_PER_LINK = 0.001
 _HEARTBEAT = 0.3
 _COUNT_MEMORY = 30.0
 _ASK_INTERVAL = 1.0
