--- a/packages/valeweir_cli/src/valeweir_cli/explain.py
+++ b/packages/valeweir_cli/src/valeweir_cli/explain.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from .loglines import read_logs
-from .losses import GROUPS, count_by_second, find_losses, tabulate
+from .losses import GROUPS, count_by_time, find_losses, tabulate
 
 _BAD_INPUT = 2
 _HIDDEN = ("t", "time", "event", "host", "id", "left_out")
@@ -42,7 +42,7 @@
     if plot_path:
         from .plots import draw_losses
 
-        draw_losses(count_by_second(losses), plot_path)
+        draw_losses(*count_by_time(losses), plot_path)
     if as_json:
         _print_json(reading, losses)
     else:
--- a/packages/valeweir_cli/src/valeweir_cli/loglines.py
+++ b/packages/valeweir_cli/src/valeweir_cli/loglines.py
@@ -11,12 +11,16 @@
 
 
 class LogLine(NamedTuple):
-    """One decision: ``at`` in seconds, ``fields`` all that the line says."""
+    """One decision: ``at`` in seconds, ``fields`` all that the line says.
+
+    ``collected`` tells whether a collector gave the time, or the gateway's clock.
+    """
 
     at: float
     event: str
     host: str
     fields: dict
+    collected: bool
 
     @property
     def request_id(self):
@@ -49,8 +53,10 @@
                 passed_over += 1
             else:
                 lines.append(line)
-    lines.sort(key=lambda line: line.at)
-    return LogReading(lines, passed_over, _count_left_out(lines))
+    kept = _keep_one_clock(lines)
+    kept.sort(key=lambda line: line.at)
+    passed_over += len(lines) - len(kept)
+    return LogReading(kept, passed_over, _count_left_out(kept))
 
 
 def parse_line(text):
@@ -65,13 +71,24 @@
     event, host = fields.get("event"), fields.get("host")
     if not isinstance(event, str) or not isinstance(host, str):
         return None
+    collected = match.group(1) is not None
     at = match.group(1) or fields.get("time", fields.get("t"))
     try:
-        return LogLine(float(at), event, host, fields)
+        return LogLine(float(at), event, host, fields, collected)
     except (TypeError, ValueError):
         return None
 
 
+def _keep_one_clock(lines):
+    """Return the lines timed by the clock that most were; the others have no place.
+
+    A collector's times often begin at 0, gateways' clocks in 1970.
+    """
+    collected = sum(line.collected for line in lines)
+    wanted = 2 * collected >= len(lines)
+    return [line for line in lines if line.collected == wanted]
+
+
 def _read_texts(path):
     if path == "-":
         yield from sys.stdin
--- a/packages/valeweir_cli/src/valeweir_cli/losses.py
+++ b/packages/valeweir_cli/src/valeweir_cli/losses.py
@@ -1,10 +1,12 @@
 """Requests that were lost or late, by what the gateways' logs say of them."""
 
 import collections
+import math
 from typing import NamedTuple
 
 LATE = "late"
-_ALL = "all"
+# Bins of a picture, about one for each of its pixels across.
+_MOST_BINS = 900
 
 
 class Loss(NamedTuple):
@@ -76,15 +78,20 @@
     return sorted(rows, key=lambda row: (-row.count, row.value))
 
 
-def count_by_second(losses):
-    """Return {reason: [count by second]} for a picture, the greatest first."""
+def count_by_time(losses):
+    """Return the width of a bin in seconds and {reason: [count by bin]}.
+
+    However long the logs are, there are few bins; the greatest reason is first.
+    """
     if not losses:
-        return {}
-    length = max(loss.second for loss in losses) + 1
-    table = collections.defaultdict(lambda: [0] * length)
+        return 1, {}
+    span = max(loss.second for loss in losses) + 1
+    width = math.ceil(span / _MOST_BINS)
+    bins = math.ceil(span / width)
+    table = collections.defaultdict(lambda: [0] * bins)
     for loss in losses:
-        table[loss.reason][loss.second] += 1
-    return dict(sorted(table.items(), key=lambda item: -sum(item[1])))
+        table[loss.reason][loss.second // width] += 1
+    return width, dict(sorted(table.items(), key=lambda item: -sum(item[1])))
 
 
 def _get_reason(line):
--- a/packages/valeweir_cli/src/valeweir_cli/plots.py
+++ b/packages/valeweir_cli/src/valeweir_cli/plots.py
@@ -23,14 +23,17 @@
     fig.savefig(path)
 
 
-def draw_losses(counts, path):
-    """Draw losses a second, stacked by reason; ``counts`` is {reason: [count]}."""
+def draw_losses(width, counts, path):
+    """Draw losses over time, stacked by reason.
+
+    ``counts`` is {reason: [count]}, each for ``width`` seconds.
+    """
     fig, axis = pyplot.subplots(figsize=(9, 4))
     if counts:
-        seconds = range(len(next(iter(counts.values()))))
+        seconds = [width * n for n in range(len(next(iter(counts.values()))))]
         axis.stackplot(seconds, *counts.values(), labels=list(counts))
         axis.legend(fontsize=7, loc="upper right")
     axis.set_xlabel("seconds since the first line")
-    axis.set_ylabel("requests lost or late a second")
+    axis.set_ylabel(f"requests lost or late in {width} s")
     fig.tight_layout()
     fig.savefig(path)
--- a/packages/valeweir_cli/tests/test_explain.py
+++ b/packages/valeweir_cli/tests/test_explain.py
@@ -5,7 +5,7 @@
 
 from click.testing import CliRunner
 from valeweir_cli.loglines import parse_line, read_logs
-from valeweir_cli.losses import find_losses, tabulate
+from valeweir_cli.losses import count_by_time, find_losses, tabulate
 from valeweir_cli.main import main
 
 LINES = [
@@ -99,6 +99,23 @@
         self.assertEqual(rows[0].first_sent_p50, 400.0)
         self.assertIsNone(rows[1].first_sent_p50)
 
+    def test_lines_timed_by_another_clock_have_no_place(self):
+        lines = self.path.read_text().splitlines()
+        mixed = [f"{number}.5 h {line}" for number, line in enumerate(lines)]
+        mixed.append(json.dumps({"time": 1.8e9, **LINES[1]}))
+        self.path.write_text("\n".join(mixed))
+        reading = read_logs([str(self.path)])
+        self.assertEqual(len(reading.lines), len(LINES))
+        self.assertLess(reading.lines[-1].at, 100.0)
+
+    def test_logs_of_years_give_few_bins(self):
+        losses = find_losses(read_logs([str(self.path)]).lines)
+        far = losses[0]._replace(second=2_000_000_000)
+        width, counts = count_by_time([*losses, far])
+        self.assertLessEqual(max(map(len, counts.values())), 900)
+        self.assertEqual(sum(map(sum, counts.values())), len(losses) + 1)
+        self.assertGreater(width, 2_000_000)
+
     def test_no_lines(self):
         self.assertEqual(find_losses([]), [])
         self.assertEqual(tabulate([], "reason"), [])
