--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -2,6 +2,7 @@
 
 from .pressure import Level, get_intake_level
 from .refusals import Refusal
+from .shares import NO_ACCOUNT
 
 # Parts of the goal: for the whole wait, and for what is ahead of a long prompt.
 _GOAL_PART = 0.65
@@ -10,8 +11,11 @@
 _LEAST_RETRY = 0.3
 _ELSEWHERE_RETRY = 0.02
 _CAPPED_RETRY = 1.0
+# A request with less than this part of its route's time left has come back.
 _RETURNED_PART = 0.97
+# Its wait limit against the usual; near the greatest that a share gives.
 _RETURNED_FACTOR = 1.3
+# The most of a request's time that its client may be told to wait.
 _RETRY_PART = 1 / 3
 
 
@@ -23,10 +27,11 @@
     earlier still where its account has had more than its share.
     """
     goal = state.goals.note(job.service, job.route.goal, now)
-    if _is_capped(state, job, now):
+    standing = get_standing(state, job, now)
+    if standing.capped:
         inputs = {"share_level": state.shares.get_level()}
         return Refusal(503, "beyond-share", retry_after=_CAPPED_RETRY, inputs=inputs)
-    allowed = goal * get_factor(state, job, now)
+    allowed = goal * standing.factor
     # A prompt too long for its goal gains nothing by coming back; it goes out
     # where little is ahead of it.
     limit = max(_GOAL_PART * allowed, choice.alone + _AHEAD_PART * allowed)
@@ -49,7 +54,7 @@
     level = max(state.get_pressure(), get_intake_level(wait, job.route.goal))
     if level is Level.NONE or is_returned(job):
         return None
-    if level is Level.HIGH and get_factor(state, job, now) >= 1.0:
+    if level is Level.HIGH and get_standing(state, job, now).factor >= 1.0:
         return None
     inputs = {
         "lag_ms": round(state.pressure.lag * 1000),
@@ -77,24 +82,17 @@
     }
 
 
-def _is_capped(state, job, now):
+def get_standing(state, job, now):
+    """Return the `Standing` that decides on the request."""
     if job.account is None:
-        return False
+        return NO_ACCOUNT
     rate = job.catalog.limits.tokens_per_second
-    return state.shares.is_capped(job.account.name, rate, now)
-
-
-def get_factor(state, job, now):
-    """Return the part of the goal that the request may wait."""
-    if job.account is None:
-        return 1.0
-    rate = job.catalog.limits.tokens_per_second
-    factor = state.shares.get_factor(job.account.name, rate, now)
-    if is_returned(job) and factor >= 1.0:
+    standing = state.shares.get_standing(job.account.name, rate, now)
+    if is_returned(job) and standing.factor >= 1.0:
         # Refusing it again would make its client lose the whole request. Who has
         # had more than its share gains no more of it by coming back.
-        return max(factor, _RETURNED_FACTOR)
-    return factor
+        return standing._replace(factor=max(standing.factor, _RETURNED_FACTOR))
+    return standing
 
 
 def is_returned(job):
--- a/packages/valeweir_gateway/src/valeweir_gateway/members.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/members.py
@@ -75,10 +75,6 @@
         """Return the `Member` of a host, or None."""
         return self._known.get(host)
 
-    def get_known(self):
-        """Return every `Member`, this gateway included."""
-        return list(self._known.values())
-
     def get_domains(self):
         """Return the failure domains with members."""
         return list(self._ranked)
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -55,13 +55,9 @@
 
 
 class Sharing(msgspec.Struct, frozen=True):
-    """How capacity is shared; ``window`` in seconds.
-
-    ``mode`` is ``fleet`` (counters exchanged), ``alone`` or ``even``.
-    """
+    """How capacity is shared; ``window`` in seconds."""
 
     window: float = 4.0
-    mode: str = "fleet"
 
 
 class Upstreams(msgspec.Struct, frozen=True):
--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -1,6 +1,7 @@
 """How far each client account is in its fair share of what the fleet serves."""
 
 import threading
+from typing import NamedTuple
 
 from .reports import get_digest
 from .sums import add_rows
@@ -19,6 +20,24 @@
 _LEAST_CAP_PART = 0.6
 
 
+class Standing(NamedTuple):
+    """How far an account is in its share.
+
+    ``factor`` is by how much its wait limit differs, about 1: an account beyond
+    its share meets a lower limit at once, and one far below it a higher one, so
+    that what is left of the engines' queues goes to those below their share.
+    ``capped`` accounts have to wait for one that is starved. Elsewhere capacity
+    may idle meanwhile: the gap between two accounts with work waiting is bounded
+    also where one of them meets a crowded gateway.
+    """
+
+    factor: float
+    capped: bool
+
+
+NO_ACCOUNT = Standing(1.0, False)
+
+
 class Shares:
     """Standing of accounts by the fleet-wide usage window.
 
@@ -30,7 +49,6 @@
     def __init__(self, usage, cfg):
         self._usage = usage
         self._window = cfg.window
-        self._mode = cfg.mode
         self._lock = threading.Lock()
         self._at = -1.0
         self._level = float("inf")
@@ -52,31 +70,15 @@
         """Take in what the other gateways were asked and began, by account."""
         self._remote = amounts
 
-    def get_factor(self, account, tokens_per_second, now):
-        """Return by how much the account's wait limit differs, about 1.
-
-        An account beyond its share meets a lower limit at once, and one far
-        below it a higher one, so that what is left of the engines' queues
-        goes to those below their share.
-        """
+    def get_standing(self, account, tokens_per_second, now):
+        """Return the `Standing` of an account."""
         with self._lock:
             self._refresh(tokens_per_second, now)
             amount = self._amounts.get(get_digest(account))
+            begun = amount.begun if amount else 0.0
             if self._level == float("inf"):
-                return 1.0
-            standing = amount.begun / self._level if amount else 0.0
-            return compute_factor(standing)
-
-    def is_capped(self, account, tokens_per_second, now):
-        """Return whether the account has to wait for one that is starved.
-
-        Elsewhere capacity may idle meanwhile: the gap between two accounts with
-        work waiting is bounded also where one of them meets a crowded gateway.
-        """
-        with self._lock:
-            self._refresh(tokens_per_second, now)
-            amount = self._amounts.get(get_digest(account))
-            return amount is not None and amount.begun > self._cap
+                return Standing(1.0, begun > self._cap)
+            return Standing(compute_factor(begun / self._level), begun > self._cap)
 
     def get_level(self):
         """Return the level in tokens a window, None where all have what they ask."""
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_decisions.py
@@ -0,0 +1,51 @@
+import unittest
+
+from valeweir_gateway.decisions import DecisionLog
+
+
+class TestDecisionLog(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.lines = []
+        self.writes = []
+        self.log = DecisionLog(
+            self.write, {"host": "a"}, lambda: self.now, lambda: 1_000.5
+        )
+
+    def write(self, data):
+        self.writes.append(data)
+        self.lines += data.splitlines(keepends=True)
+
+    def flush(self):
+        self.log.start()
+        self.log.stop()
+
+    def test_fields(self):
+        self.log.note("started", id="r1")
+        self.flush()
+        self.assertEqual(
+            self.lines,
+            [b'{"t":0.0,"time":1000.5,"event":"started","host":"a","id":"r1"}\n'],
+        )
+
+    def test_flood_is_bounded_and_counted(self):
+        for _ in range(5_000):
+            self.log.note("served")
+        self.flush()
+        self.assertLess(len(self.lines), 500)
+        self.assertEqual(len(self.lines) + self.log.left_out, 5_000)
+        self.assertIn(b'"left_out":', self.lines[0])
+
+    def test_lines_that_wait_go_out_together(self):
+        for _ in range(100):
+            self.log.note("served")
+        self.flush()
+        self.assertEqual(len(self.lines), 100)
+        self.assertLess(len(self.writes), 5)
+
+    def test_successes_do_not_crowd_out_failures(self):
+        for _ in range(5_000):
+            self.log.note("served")
+        self.log.note("failed", failed=True)
+        self.flush()
+        self.assertIn(b'"failed"', self.lines[-1])
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_duties.py
@@ -0,0 +1,95 @@
+import unittest
+from types import SimpleNamespace
+
+from valeweir_gateway.duties import StoreDuty
+from valeweir_gateway.syncing import ViewSync
+from valeweir_standins.wires import Wire
+
+
+def make_duty(fleet):
+    return StoreDuty(fleet._state, lambda: fleet.plan)
+
+
+class TestStoreDuty(unittest.TestCase):
+    def setUp(self):
+        self.wire = Wire(3, 40)
+        self.wire.introduce()
+        self.wire.run(2.0)
+        self.age = 0.5
+        self.duties = {}
+        for fleet in self.wire.fleets.values():
+            state = fleet._state
+            state.get_peers_store_age = lambda now: self.age
+            state.cfg.store = SimpleNamespace(poll=5.0)
+            self.duties[state.cfg.host] = make_duty(fleet)
+
+    def get_readers(self):
+        return [host for host, duty in self.duties.items() if duty.reads_store()]
+
+    def test_one_reader_a_domain(self):
+        self.assertEqual(len(self.get_readers()), 3)
+
+    def test_everybody_reads_when_nobody_has_heard_from_the_store(self):
+        self.wire.now += 3.0
+        for age in (None, 9.0):
+            self.age = age
+            self.assertEqual(len(self.get_readers()), 40)
+
+    def test_a_fleet_that_starts_waits_for_its_readers(self):
+        self.age = None
+        self.assertEqual(len(self.get_readers()), 3)
+
+    def test_nobody_reads_before_the_members_are_listed(self):
+        for state in self.wire.states.values():
+            state.members_known = False
+        self.assertEqual(self.get_readers(), [])
+        self.wire.now += 1.5
+        self.assertEqual(len(self.get_readers()), 3)
+
+    def test_readers_that_others_depend_on_ask_often(self):
+        self.assertLessEqual(self.duties["h0"].get_poll(), 1.0)
+
+    def test_small_fleets_all_read(self):
+        wire = make_wire(3, 9)
+        wire.introduce()
+        wire.run(2.0)
+        for fleet in wire.fleets.values():
+            fleet._state.cfg.store = SimpleNamespace(poll=5.0)
+            duty = make_duty(fleet)
+            self.assertTrue(duty.reads_store())
+            self.assertEqual(duty.get_poll(), 5.0)
+
+
+class TestViewSync(unittest.TestCase):
+    def setUp(self):
+        self.wire = Wire(3, 40)
+        self.wire.introduce()
+        self.wire.run(2.0)
+        self.fleet = next(f for f in self.wire.fleets.values() if not f.plan.is_relay)
+        state = self.fleet._state
+        state.get_peers_store_age = lambda now: 0.5
+        self.duty = make_duty(self.fleet)
+        follower = SimpleNamespace(end=0)
+        self.sync = ViewSync(state, follower, follower, 1, self.duty)
+        self.sync.fetch = lambda peer: self.can_fetch
+        relay = self.fleet.plan.relay.host
+        self.wire.states[relay].directory_offset = 7
+        self.wire.run(0.5)
+
+    def test_view_of_the_relay_is_taken_at_once(self):
+        self.can_fetch = True
+        self.assertTrue(self.sync.catch_up(self.wire.now))
+        self.assertFalse(self.duty.reads_store())
+
+    def test_a_relay_that_does_not_give_its_view_is_not_waited_for(self):
+        self.can_fetch = False
+        self.assertFalse(self.sync.catch_up(self.wire.now))
+        self.assertFalse(self.duty.reads_store())
+        self.sync.catch_up(self.wire.now + 1.0)
+        self.assertTrue(self.duty.reads_store())
+        self.wire.now += 9.0
+        self.assertFalse(self.duty.reads_store())
+
+    def test_nothing_newer(self):
+        self.fleet._state.directory_offset = 7
+        self.assertIsNone(self.sync.catch_up(self.wire.now))
--- a/packages/valeweir_gateway/tests/test_views.py
+++ b/packages/valeweir_gateway/tests/test_views.py
@@ -8,7 +8,13 @@
 from valeweir_gateway.settings import GatewaySettings, Listen, Store
 from valeweir_gateway.states import GatewayState
 from valeweir_gateway.stores import Batch, Entry, HistoryExpired, Listing, TopicFollower
-from valeweir_gateway.syncing import ViewSync, decode_view, encode_view, make_topic_view
+from valeweir_gateway.syncing import (
+    ViewSync,
+    adopt_view,
+    decode_view,
+    encode_view,
+    make_topic_view,
+)
 from valeweir_gateway.views import ViewKeeper
 
 HOLD = 1.8
@@ -240,5 +246,34 @@
         self.assertFalse(self.is_ready())
 
 
+class TestViews(unittest.TestCase):
+    def make_follower(self):
+        return TopicFollower(
+            None, "t", lambda entry: None, lambda end: None, None, None, None
+        )
+
+    def test_a_peer_takes_all_then_what_changed(self):
+        ours, theirs = self.make_follower(), self.make_follower()
+        ours.adopt(Listing([Entry("i", b"x", 1), Entry("j", b"y", 2)], 9))
+        self.exchange(ours, theirs)
+        self.assertEqual(theirs.get_listing(), ours.get_listing())
+        ours.adopt_batch(Batch([Entry("i", None, 9), Entry("k", b"z", 10)], 11))
+        view = self.exchange(ours, theirs)
+        self.assertFalse(view.is_whole)
+        self.assertEqual(len(view.entries), 2)
+        self.assertEqual(theirs.get_listing(), ours.get_listing())
+
+    def exchange(self, ours, theirs):
+        view = make_topic_view(ours, theirs.end)
+        data = encode_view(view, view)
+        got = decode_view(data)
+        self.assertEqual(got.catalog, view)
+        adopt_view(theirs, got.catalog)
+        return view
+
+    def test_foreign_bytes(self):
+        self.assertIsNone(decode_view(b"\x00nothing"))
+
+
 if __name__ == "__main__":
     unittest.main()
