--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -75,10 +75,12 @@
         with self._lock:
             self._refresh(tokens_per_second, now)
             amount = self._amounts.get(get_digest(account))
-            begun = amount.begun if amount else 0.0
             if self._level == float("inf"):
-                return Standing(1.0, begun > self._cap)
-            return Standing(compute_factor(begun / self._level), begun > self._cap)
+                return NO_ACCOUNT
+            # The level is 0 where nothing was asked for within the window.
+            used = amount.begun / self._level if amount else 0.0
+            capped = amount is not None and amount.begun > self._cap
+            return Standing(compute_factor(used), capped)
 
     def get_level(self):
         """Return the level in tokens a window, None where all have what they ask."""
