--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -2,7 +2,7 @@
 
 from .pressure import Level, get_intake_level
 from .refusals import Refusal
-from .shares import NO_ACCOUNT
+from .shares import UNLIMITED
 
 # Parts of the goal: for the whole wait, and for what is ahead of a long prompt.
 _GOAL_PART = 0.65
@@ -85,7 +85,7 @@
 def get_standing(state, job, now):
     """Return the `Standing` that decides on the request."""
     if job.account is None:
-        return NO_ACCOUNT
+        return UNLIMITED
     rate = job.catalog.limits.tokens_per_second
     standing = state.shares.get_standing(job.account.name, rate, now)
     if is_returned(job) and standing.factor >= 1.0:
--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -35,7 +35,8 @@
     capped: bool
 
 
-NO_ACCOUNT = Standing(1.0, False)
+# Of a request without an account, and of all where everybody can have what it asks.
+UNLIMITED = Standing(1.0, False)
 
 
 class Shares:
@@ -76,7 +77,7 @@
             self._refresh(tokens_per_second, now)
             amount = self._amounts.get(get_digest(account))
             if self._level == float("inf"):
-                return NO_ACCOUNT
+                return UNLIMITED
             # The level is 0 where nothing was asked for within the window.
             used = amount.begun / self._level if amount else 0.0
             capped = amount is not None and amount.begun > self._cap
