--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -26,7 +26,9 @@
 METRICS_PATH = "/metrics"
 _STOP_POLL = 0.05
 _LAST_WAIT = 0.1
-_GRACE_MARGIN = 0.4
+# Seconds of the grace left for writing the log and ending the process, also where
+# the processor is busy.
+_GRACE_MARGIN = 0.6
 _STALE_CHECK = 1.0
 _CACHE_CHECK = 0.2
 _LAPSE_CHECK = 0.05
--- a/packages/valeweir_gateway/src/valeweir_gateway/requests.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/requests.py
@@ -80,6 +80,7 @@
         self._on_continue = on_continue
         self._parser = httptools.HttpRequestParser(self)
         self._fault = None
+        self._number = 0
         self._clear()
 
     @property
@@ -94,9 +95,12 @@
 
     def feed(self, data):
         """Take in bytes; raises `BadRequest`, after which nothing more is read."""
-        self._check_head(len(data))
-        while data:
-            data = self._parse(data)
+        before = self._number
+        rest = data
+        while rest:
+            rest = self._parse(rest)
+        if self._number == before:
+            self._check_head(len(data))
 
     def _parse(self, data):
         """Let the parser take bytes; return those that it left."""
@@ -111,7 +115,11 @@
         return b""
 
     def _check_head(self, count):
-        """Bound a head of which the parser holds back an endless field."""
+        """Bound a head of which the parser holds back an endless field.
+
+        Only bytes that came while it was the one being read, and did not end it,
+        are surely part of it.
+        """
         if self._begun and not self._has_head:
             self._pending += count
             if self._pending > self._limits.max_header:
@@ -120,6 +128,7 @@
     def on_message_begin(self):  # noqa: D102  (names are the parser's)
         self._clear()
         self._begun = True
+        self._number += 1
 
     def on_url(self, part):  # noqa: D102
         self._target += part
--- a/packages/valeweir_gateway/tests/test_requests.py
+++ b/packages/valeweir_gateway/tests/test_requests.py
@@ -129,6 +129,16 @@
                 self.assertEqual(caught.exception.status, status)
                 self.assertEqual(self.requests, [])
 
+    def test_a_large_body_behind_the_rest_of_a_head_is_no_large_head(self):
+        body = b"x" * 9_000
+        self.parser.feed(b"POST / HTTP/1.1\r\nHo")
+        self.parser.feed(b"st: h\r\nContent-Length: 9000\r\n\r\n" + body)
+        self.assertEqual(self.requests[0].body, body)
+        head = b"POST / HTTP/1.1\r\nContent-Length: 9000\r\n\r\n"
+        self.parser.feed(head + body + b"GET /n HTTP/1.1\r\nHo")
+        self.parser.feed(b"st: h\r\n\r\n")
+        self.assertEqual([r.target for r in self.requests], ["/", "/", "/n"])
+
     def test_an_endless_field(self):
         self.parser.feed(b"GET / HTTP/1.1\r\nA: ")
         with self.assertRaises(BadRequest) as caught:
