--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -177,6 +177,9 @@
         state = self.state
         gauges = state.metrics
         gauges.inflight.set(state.inflight)
+        gauges.waiting.set(len(state.intake))
+        gauges.wait.set(state.intake.estimate_wait())
+        gauges.connections.set(len(self._clients))
         gauges.catalog_version.set(state.catalog.version if state.catalog else 0)
         gauges.lag.set(state.pressure.lag)
         gauges.live_peers.set(len(state.members.get_live(state.clock())))
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -41,6 +41,9 @@
             "expected_first_event_seconds", "What was expected of it at the send", ""
         )
         self.inflight = self._gauge("inflight_requests", "Requests read, not answered")
+        self.waiting = self._gauge("intake_requests", "Requests not yet looked at")
+        self.wait = self._gauge("intake_wait_seconds", "How long the next one waits")
+        self.connections = self._gauge("client_connections", "Connections of clients")
         self.catalog_version = self._gauge("catalog_version", "Version in force")
         self.lag = self._gauge("processor_lag_seconds", "How late the event loop is")
         self.live_peers = self._gauge("live_peers", "Gateways heard from lately")
--- a/packages/valeweir_gateway/src/valeweir_gateway/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/servers.py
@@ -311,6 +311,10 @@
         self._connections = set()
         self._tasks = set()
 
+    def __len__(self):
+        """Return how many connections are open."""
+        return len(self._connections)
+
     async def start(self):
         """Bind and serve from now on."""
         self.loop = asyncio.get_running_loop()
--- a/packages/valeweir_gateway/tests/test_stores.py
+++ b/packages/valeweir_gateway/tests/test_stores.py
@@ -109,6 +109,30 @@
         self.assertEqual(self.get_applied(), [("a", b"1"), ("a", None), ("a", b"2")])
 
 
+class RecordedWaits:
+    """Stands for an event; notes the waits and ends them all at once."""
+
+    def __init__(self, most):
+        self.waits = []
+        self._most = most
+
+    def is_set(self):
+        return len(self.waits) >= self._most
+
+    def wait(self, seconds):
+        self.waits.append(seconds)
+
+
+class TestLongOutages(FollowerCase):
+    def test_the_store_is_asked_again_within_a_second_however_long_it_was_away(self):
+        # What binds hosts in touch counts from the end of its trouble.
+        self.follow(Listing([], 1))
+        self.store.results = [PlatformUnavailable("down")] * 40
+        stopped = RecordedWaits(40)
+        self.follower.run(stopped)
+        self.assertEqual(max(stopped.waits), 1.0)
+
+
 class TestPeersListing(FollowerCase):
     def test_newer_records_of_a_peer(self):
         self.follow(Listing([Entry("a", b"1", 3), Entry("b", b"1", 2)], 4))
