--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -2,7 +2,7 @@
 
 from .pressure import Level, get_intake_level
 from .refusals import Refusal
-from .shares import UNLIMITED
+from .shares import UNLIMITED, describe_standing
 
 # Parts of the goal: for the whole wait, and for what is ahead of a long prompt.
 _GOAL_PART = 0.65
@@ -28,8 +28,9 @@
     """
     goal = state.goals.note(job.service, job.route.goal, now)
     standing = get_standing(state, job, now)
+    job.standing = standing
     if standing.capped:
-        inputs = {"share_level": state.shares.get_level()}
+        inputs = describe_standing(standing, get_oldest_report(state, now))
         return Refusal(503, "beyond-share", retry_after=_CAPPED_RETRY, inputs=inputs)
     allowed = goal * standing.factor
     # A prompt too long for its goal gains nothing by coming back; it goes out
@@ -40,7 +41,7 @@
     left = job.deadline - now
     retry_after = max(_LEAST_RETRY, choice.wait - limit / 2)
     retry_after = min(retry_after, left * _RETRY_PART)
-    inputs = describe(state, choice, limit, now)
+    inputs = describe(state, choice, standing, limit, now)
     return Refusal(503, "engines-busy", retry_after=retry_after, inputs=inputs)
 
 
@@ -65,20 +66,23 @@
     return Refusal(503, "overloaded", retry_after=_ELSEWHERE_RETRY, inputs=inputs)
 
 
-def describe(state, choice, limit, now):
+def get_oldest_report(state, now):
+    """Return the age in seconds of the oldest report that is counted in."""
+    peers = state.members.get_live(now)
+    return max((now - peer.heard for peer in peers), default=0.0)
+
+
+def describe(state, choice, standing, limit, now):
     """Return what decided, for the log; times in milliseconds."""
     load = state.loads.get(choice.instance.id, now)
-    peers = state.members.get_live(now)
-    oldest = max((now - peer.heard for peer in peers), default=0.0)
     return {
         "upstream": choice.instance.id,
         "expected_ms": round(choice.wait * 1000),
         "limit_ms": round(limit * 1000),
         "unread_own": load.unread,
         "unread_peers": load.remote_unread,
-        "peers": len(peers),
-        "oldest_report_ms": round(oldest * 1000),
-        "share_level": state.shares.get_level(),
+        "peers": len(state.members.get_live(now)),
+        **describe_standing(standing, get_oldest_report(state, now)),
     }
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -50,7 +50,9 @@
 def _note_begun(state, job, now):
     state.retries.note_request(job.service, now)
     if job.account is not None and job.prompt is not None:
-        state.shares.note_begun(job.account.name, job.prompt.cost, now)
+        name, cost = job.account.name, job.prompt.cost
+        state.shares.note_begun(name, cost, now)
+        state.metrics.account_tokens.labels(name, "begun").inc(cost)
 
 
 def _note_reads(state, job, choice, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -146,4 +146,6 @@
 
 def _note_asked(state, job):
     if job.account is not None and job.prompt is not None:
-        state.shares.note_asked(job.account.name, job.prompt.cost, job.arrived)
+        name, cost = job.account.name, job.prompt.cost
+        state.shares.note_asked(name, cost, job.arrived)
+        state.metrics.account_tokens.labels(name, "asked").inc(cost)
--- a/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
@@ -22,6 +22,7 @@
         "route",
         "sends",
         "service",
+        "standing",
     )
 
     def __init__(self, request, reply, catalog, arrived):
@@ -42,3 +43,4 @@
         self.answered = 0
         self.last_event_id = None
         self.may_have_run = False
+        self.standing = None
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -20,6 +20,11 @@
         self.refused = self._counter(
             "requests_refused", "Answers of our own, by reason", "code"
         )
+        self.account_tokens = self._counter(
+            "account_tokens",
+            "Tokens that accounts asked for, and that were begun, at this gateway",
+            "account state",
+        )
         self.send_failures = self._counter(
             "send_failures", "Sends without a whole answer, by fault", "fault"
         )
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -2,6 +2,7 @@
 
 from .exchanges import Fault
 from .repeating import MISDIRECTED
+from .shares import describe_standing
 
 
 def note_refusal(state, job, refusal):
@@ -58,6 +59,7 @@
         first_ms=to_milliseconds(work.first or 0.0),
         sends=job.sends,
         took_ms=to_milliseconds(now - job.arrived),
+        **(describe_standing(job.standing) if job.standing else {}),
     )
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -18,6 +18,21 @@
 _TOLERATED_REQUESTS = 3
 _MOST_TIMES_LEAST = 1.7
 _LEAST_CAP_PART = 0.6
+_NOTHING = Amount(0, 0)
+
+
+class ShareView(NamedTuple):
+    """What a standing was worked out from, in tokens of the window.
+
+    ``own_begun`` is this gateway's part of ``begun``. ``level`` and ``cap`` are
+    None where there is none.
+    """
+
+    asked: float = 0
+    begun: float = 0
+    own_begun: float = 0
+    level: float | None = None
+    cap: float | None = None
 
 
 class Standing(NamedTuple):
@@ -33,9 +48,10 @@
 
     factor: float
     capped: bool
+    view: ShareView = ShareView()
 
 
-# Of a request without an account, and of all where everybody can have what it asks.
+# Of a request without an account.
 UNLIMITED = Standing(1.0, False)
 
 
@@ -75,17 +91,25 @@
         """Return the `Standing` of an account."""
         with self._lock:
             self._refresh(tokens_per_second, now)
-            amount = self._amounts.get(get_digest(account))
+            digest = get_digest(account)
+            amount = self._amounts.get(digest, _NOTHING)
+            view = self._make_view(digest, amount)
             if self._level == float("inf"):
-                return UNLIMITED
+                return Standing(1.0, False, view)
             # The level is 0 where nothing was asked for within the window.
-            used = amount.begun / self._level if amount else 0.0
-            capped = amount is not None and amount.begun > self._cap
-            return Standing(compute_factor(used), capped)
-
-    def get_level(self):
-        """Return the level in tokens a window, None where all have what they ask."""
-        return None if self._level == float("inf") else round(self._level)
+            used = amount.begun / self._level if amount.begun else 0.0
+            capped = amount.begun > self._cap
+            return Standing(compute_factor(used), capped, view)
+
+    def _make_view(self, digest, amount):
+        begun_elsewhere = self._remote.get(digest, _NOTHING)[1]
+        return ShareView(
+            round(amount.asked),
+            round(amount.begun),
+            round(amount.begun - begun_elsewhere),
+            _round_finite(self._level),
+            _round_finite(self._cap),
+        )
 
     def _refresh(self, tokens_per_second, now):
         if now - self._at < _REFRESH:
@@ -102,6 +126,10 @@
         self._cap = compute_cap(self._amounts.values(), self._level, slack)
 
 
+def _round_finite(tokens):
+    return None if tokens == float("inf") else round(tokens)
+
+
 def compute_cap(amounts, level, slack):
     """Return the tokens that no account may exceed, infinite if none is starved."""
     starved = [
@@ -122,3 +150,22 @@
         return _GREATEST_FACTOR
     below = (1.0 - standing) / (1.0 - _SMALL_PART)
     return 1.0 + below * (_GREATEST_FACTOR - 1.0)
+
+
+def describe_standing(standing, oldest_report=None):
+    """Return a `Standing` for the log; tokens of the window, ages in milliseconds.
+
+    ``oldest_report`` is the age in seconds of the oldest report counted in.
+    """
+    view = standing.view
+    fields = {
+        "share_factor": round(standing.factor, 2),
+        "share_level": view.level,
+        "share_cap": view.cap,
+        "account_asked": view.asked,
+        "account_begun": view.begun,
+        "account_begun_here": view.own_begun,
+    }
+    if oldest_report is not None:
+        fields["oldest_report_ms"] = round(oldest_report * 1000)
+    return fields
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -117,6 +117,18 @@
         self.fill()
         self.assertIsNotNone(self.decide(0.4))
 
+    def test_refusal_tells_what_is_believed_of_the_account(self):
+        self.fill()
+        self.state.shares.set_remote({get_digest("one"): (5_000, 2_000)})
+        self.state.shares._at = -1.0
+        inputs = self.decide(0.9).inputs
+        self.assertEqual(inputs["account_asked"], 25_000)
+        self.assertEqual(inputs["account_begun"], 22_000)
+        self.assertEqual(inputs["account_begun_here"], 20_000)
+        self.assertGreater(inputs["account_begun"], inputs["share_level"])
+        self.assertLess(inputs["share_factor"], 1.0)
+        self.assertEqual(inputs["oldest_report_ms"], 0)
+
     def test_refused_once_it_is_preferred(self):
         self.assertIsNotNone(self.decide(0.8))
         self.assertIsNone(self.decide(0.8, allowed=8.0))
