--- /dev/null
+++ b/packages/valeweir_gateway/tests/conflicts.py
@@ -0,0 +1,263 @@
+"""Accounts in conflict over slow engines, played in steps of a fake clock.
+
+The deciding parts of several gateways are the real ones: usage window, shares,
+loads, placement and admission. Engines read prompts in order of arrival, and what
+gateways report to each other arrives late.
+"""
+
+import heapq
+import itertools
+import random
+from types import SimpleNamespace
+from typing import NamedTuple
+
+from valeweir_gateway.admission import decide
+from valeweir_gateway.catalog import Account, Catalog, Engine, Limits, Service
+from valeweir_gateway.directory import Directory, Instance
+from valeweir_gateway.goals import RecentGoals
+from valeweir_gateway.loads import Loads
+from valeweir_gateway.members import Member, Members
+from valeweir_gateway.placement import choose_engine
+from valeweir_gateway.prompts import Part, Prompt
+from valeweir_gateway.reports import get_digest
+from valeweir_gateway.settings import Sharing
+from valeweir_gateway.shares import Shares
+from valeweir_gateway.sums import Totals
+from valeweir_gateway.usage import UsageWindow
+from valeweir_standins.fairness import Try
+
+# Engines of today's deployments: tokens read a second, seconds to a first event
+# with nothing to read, seconds that a stream runs on after it.
+READING_RATE = 51_100.0
+_BASE = 0.03
+_STREAM = 0.3
+_ENGINE = Engine(64, 600_000, 100_000.0, 1.25e9)
+_TICK = 0.02
+_TOKENS_PER_SECOND = 145_000.0
+# Shared parts to draw from, for each kind of request.
+_SUBJECTS = 24
+
+
+class Kind(NamedTuple):
+    """A kind of request; times in seconds, weight among an account's requests."""
+
+    shared: int
+    own: int
+    output: int
+    goal: float
+    deadline: float
+    weight: float
+
+
+KINDS = (
+    Kind(13_300, 3_720, 120, 0.8, 12.0, 17.6),
+    Kind(6_300, 2_890, 51, 0.8, 6.0, 7.5),
+    Kind(350, 1_110, 171, 0.6, 15.0, 22.9),
+)
+
+
+class Demand(NamedTuple):
+    """What an account's clients send: new requests a second, by ``gateways``.
+
+    A refused request comes back up to ``returns`` times, when it was told to, or
+    after ``impatience`` seconds where that is given.
+    """
+
+    account: str
+    rate: float
+    gateways: tuple
+    returns: int = 3
+    impatience: float | None = None
+
+
+class SlowSpell(NamedTuple):
+    """Engines that take ``times`` as long from ``start`` to ``end``."""
+
+    start: float
+    end: float
+    engines: tuple
+    times: float
+
+
+class _Engine:
+    def __init__(self):
+        self.free_at = 0.0
+        self.parts = set()
+        self.busy = 0.0
+
+
+class Conflict:
+    """One play; ``tries`` are what callers saw of it.
+
+    Parameters
+    ----------
+    demands : list of Demand
+    report_delay : (float, float)
+        Bounds in seconds of how late a report arrives.
+    """
+
+    def __init__(
+        self,
+        demands,
+        gateways=8,
+        engines=5,
+        slow=(),
+        report_delay=(0.001, 0.02),
+        seed=1,
+    ):
+        self._rng = random.Random(seed)
+        self._demands = demands
+        self._slow = slow
+        self._delay = report_delay
+        self._events = []
+        self._numbers = itertools.count()
+        self._engines = {f"e{n}": _Engine() for n in range(engines)}
+        self._instances = [
+            Instance(f"e{n}", "llm", f"127.0.0.1:{n}", "z", 64, True)
+            for n in range(engines)
+        ]
+        self.catalog = Catalog(
+            1,
+            [],
+            [Service("llm", 64, _ENGINE)],
+            [Account(row.account, (), None) for row in demands],
+            Limits(tokens_per_second=_TOKENS_PER_SECOND),
+        )
+        self._states = [self._make_state(n) for n in range(gateways)]
+        self._heard = [{} for _ in range(gateways)]
+        self.now = 0.0
+        self.tries = []
+
+    def run(self, seconds):
+        """Play; return the tries."""
+        for number in range(len(self._states)):
+            self._at(self._rng.uniform(0, _TICK), self._tick, number)
+        for demand in self._demands:
+            self._at(self._rng.expovariate(demand.rate), self._arrive, demand)
+        while self._events and self._events[0][0] < seconds:
+            self.now, _, action, args = heapq.heappop(self._events)
+            action(*args)
+        return self.tries
+
+    def get_utilisation(self, seconds):
+        """Return the part of the time in which engines were reading."""
+        busy = sum(engine.busy for engine in self._engines.values())
+        return busy / (seconds * len(self._engines))
+
+    def _at(self, when, action, *args):
+        heapq.heappush(self._events, (when, next(self._numbers), action, args))
+
+    def _make_state(self, number):
+        usage = UsageWindow(Sharing().window)
+        directory = Directory()
+        for row in self._instances:
+            directory.put(row)
+        return SimpleNamespace(
+            usage=usage,
+            shares=Shares(usage, Sharing()),
+            loads=Loads(),
+            goals=RecentGoals(),
+            members=Members(Member(f"g{number}", "z", f"127.0.0.1:{number}")),
+            directory=directory,
+            rng=random.Random(number),
+        )
+
+    def _tick(self, number):
+        state = self._states[number]
+        remote = Totals()
+        for totals in self._heard[number].values():
+            remote.add(totals.loads, totals.usage, 1)
+        state.shares.set_remote(remote.usage)
+        by_id = {get_digest(row.id): row.id for row in self._instances}
+        loads = {by_id[digest]: row for digest, row in remote.loads.items()}
+        state.loads.set_remote(loads, self.now)
+        own = Totals()
+        rows = state.loads.get_report().items()
+        own.add(
+            {get_digest(name): row for name, row in rows},
+            state.usage.get_amounts(self.now),
+            1,
+        )
+        for other in range(len(self._states)):
+            if other != number:
+                late = self._rng.uniform(*self._delay)
+                self._at(self.now + late, self._hear, other, number, own)
+        self._at(self.now + _TICK, self._tick, number)
+
+    def _hear(self, number, sender, totals):
+        self._heard[number][sender] = totals
+
+    def _arrive(self, demand):
+        kind = self._rng.choices(KINDS, [row.weight for row in KINDS])[0]
+        subject = self._rng.randrange(_SUBJECTS)
+        parts = (
+            Part(f"{kind.shared}-{subject}", kind.shared),
+            Part(f"own-{next(self._numbers)}", kind.own),
+        )
+        prompt = Prompt(kind.shared + kind.own, kind.output, parts)
+        self._ask(demand, kind, prompt, self.now + kind.deadline, 0)
+        self._at(self.now + self._rng.expovariate(demand.rate), self._arrive, demand)
+
+    def _ask(self, demand, kind, prompt, deadline, returned):
+        number = self._rng.choice(demand.gateways)
+        state = self._states[number]
+        state.shares.note_asked(demand.account, prompt.cost, self.now)
+        job = SimpleNamespace(
+            route=SimpleNamespace(goal=kind.goal, timeout=kind.deadline),
+            catalog=self.catalog,
+            service="llm",
+            account=self.catalog.accounts[demand.account],
+            prompt=prompt,
+            allowed=deadline - self.now,
+            deadline=deadline,
+        )
+        usable = state.loads.pick_usable(self._instances, self.now)
+        patience = 0.15 * kind.goal
+        choice = choose_engine(prompt, usable, state.loads, self.now, _ENGINE, patience)
+        refusal = decide(state, job, choice, self.now)
+        if refusal is None:
+            self._send(state, demand, kind, prompt, choice)
+            return
+        self.tries.append(Try(self.now, demand.account, prompt.cost, False, True))
+        wait = demand.impatience or refusal.retry_after
+        if returned < demand.returns and self.now + wait < deadline:
+            self._at(
+                self.now + wait, self._ask, demand, kind, prompt, deadline, returned + 1
+            )
+
+    def _send(self, state, demand, kind, prompt, choice):
+        engine = self._engines[choice.instance.id]
+        state.shares.note_begun(demand.account, prompt.cost, self.now)
+        work = state.loads.start(choice.instance.id, choice.tokens, self.now)
+        for each in self._states:
+            each.loads.note_parts(prompt.shared, choice.instance.id, self.now)
+        unread = prompt.own
+        if prompt.home not in engine.parts and choice.source is None:
+            unread = prompt.tokens
+        engine.parts.add(prompt.home)
+        reading = unread / READING_RATE * self._get_slowness(choice.instance.id)
+        start = max(self.now, engine.free_at)
+        engine.free_at = start + reading
+        engine.busy += reading
+        first = engine.free_at + _BASE - self.now
+        self._at(self.now + first, state.loads.note_progress, work, self.now + first)
+        end = self.now + first + _STREAM
+        self._at(end, state.loads.finish, work, end)
+        late = first > kind.goal
+        self.tries.append(Try(self.now, demand.account, prompt.cost, True, late))
+
+    def _get_slowness(self, engine_id):
+        for spell in self._slow:
+            if spell.start <= self.now < spell.end and engine_id in spell.engines:
+                return spell.times
+        return 1.0
+
+
+def get_amounts(tries, start, end):
+    """Return {account: (asked, got)} in tokens of the tries between two times."""
+    amounts = {}
+    for row in tries:
+        if start <= row.at < end:
+            asked, got = amounts.get(row.account, (0, 0))
+            amounts[row.account] = (asked + row.cost, got + row.cost * row.begun)
+    return amounts
