--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -91,6 +91,9 @@
             return
         state = self._state
         now = state.clock()
+        if report.only_reads:
+            self._take_reads(report, now)
+            return
         address = f"{sender[0]}:{sender[1]}"
         fresh = not state.members.is_live(report.host, now)
         if state.members.note(report, address, now) is None:
@@ -272,10 +275,10 @@
 
     def _send_to(self, address, report):
         host, _, port = address.rpartition(":")
-        data = encode_report(report)
         try:
-            self._sock.sendto(data, (host, int(port)))
-            self.sent_bytes += len(data)
+            for data in encode_report(report):
+                self._sock.sendto(data, (host, int(port)))
+                self.sent_bytes += len(data)
         except OSError:
             # Soft state: the next report will do.
             pass
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -1,8 +1,9 @@
 """What gateways tell each other: small datagrams of soft state.
 
 Every report holds absolute figures, so one that is lost, doubled or late does
-no harm: the next one corrects it. A report fits one datagram; where figures do
-not fit, the smallest are left out.
+no harm: the next one corrects it. Figures fit one datagram; hints on reads go in one
+of their own where there is no room, and where figures do not fit, the smallest are
+left out.
 """
 
 import functools
@@ -14,6 +15,9 @@
 VERSION = 2
 MAX_BYTES = 1_400
 _KEPT_PART = 0.75
+# Engines left out look idle and accounts left out look starved, which does more harm;
+# so the engines with least to do go first, down to this many.
+_LEAST_LOADS = 40
 # Digests kept: of the parts, instances and accounts in use at a time.
 _DIGESTS = 32_768
 
@@ -46,7 +50,8 @@
     tokens asked and begun within the window. ``reads`` lists (instance digest,
     part digest) of prompt parts that an instance reads for the first time.
     ``silent`` names failure domains that the sender's relays hear nothing of.
-    ``members`` are rows of host, failure domain, address and capacity.
+    ``members`` are rows of host, failure domain, address and capacity. One with
+    ``only_reads`` holds no figures and replaces none.
     """
 
     version: int
@@ -66,6 +71,7 @@
     silent: list[str] = []
     members: list[tuple[str, str, str, float]] = []
     capacity: float = 1.0
+    only_reads: bool = False
 
 
 _encoder = msgspec.msgpack.Encoder()
@@ -79,18 +85,31 @@
 
 
 def encode_report(report):
-    """Return the bytes of a report, cut down to one datagram."""
+    """Return the datagrams of a report: one, or hints on reads and then figures."""
+    replace = msgspec.structs.replace
     data = _encoder.encode(report)
     if len(data) > MAX_BYTES and report.members:
-        report = msgspec.structs.replace(report, members=[])
+        report = replace(report, members=[])
         data = _encoder.encode(report)
+    if len(data) <= MAX_BYTES:
+        return [data]
+    figures = _encode_figures(replace(report, reads=[]))
+    if not report.reads:
+        return [figures]
+    hints = replace(report, loads={}, usage={}, only_reads=True)
+    return [_encoder.encode(hints), figures]
+
+
+def _encode_figures(report):
+    """Return the bytes of a report, without the smallest figures if need be."""
+    data = _encoder.encode(report)
     while len(data) > MAX_BYTES:
-        report = msgspec.structs.replace(
-            report,
-            loads=_keep_greatest(report.loads),
-            usage=_keep_greatest(report.usage),
-            reads=report.reads[: len(report.reads) // 2],
-        )
+        if len(report.loads) > _LEAST_LOADS:
+            loads = _keep_greatest(report.loads)
+            report = msgspec.structs.replace(report, loads=loads)
+        else:
+            usage = _keep_greatest(report.usage)
+            report = msgspec.structs.replace(report, usage=usage)
         data = _encoder.encode(report)
     return data
 
