--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -54,6 +54,14 @@
         self.live_peers = self._gauge("live_peers", "Gateways heard from lately")
         self.instances = self._gauge("upstream_instances", "Upstream instances known")
         self.report_bytes = self._gauge("report_bytes_sent", "Bytes of reports sent")
+        self.share_level = self._gauge(
+            "share_level_tokens",
+            "What no account should exceed in the window, +Inf where all have it all",
+        )
+        self.declared = self._gauge(
+            "declared_tokens_per_second",
+            "What the configuration says that upstreams make, decides nothing",
+        )
         self.left_out = self._gauge("log_lines_left_out", "Log lines above the rate")
         self.bad_records = self._gauge("bad_records", "Store records not decoded")
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -101,6 +101,12 @@
             view = self._get_view(get_digest(account))
         return Standing(compute_factor(view, cost), view)
 
+    def get_level(self, now):
+        """Return the level in tokens of the window, infinity where there is none."""
+        with self._lock:
+            self._refresh(now)
+            return self._level
+
     def _get_view(self, digest):
         amount = self._amounts.get(digest, _NOTHING)
         begun_elsewhere = self._remote.get(digest, _NOTHING)[1]
--- a/packages/valeweir_gateway/tests/test_sharing.py
+++ b/packages/valeweir_gateway/tests/test_sharing.py
@@ -118,6 +118,7 @@
         note(self.shares, "big", 100, True, 1.0)
         note(self.shares, "small", 10, True, 1.0)
         self.assertEqual(self.shares.get_standing("big", 100, 1.1).factor, 1.0)
+        self.assertEqual(self.shares.get_level(1.1), float("inf"))
 
     def test_only_who_is_beyond_the_level_waits_less(self):
         note(self.shares, "big", 900, True, 1.0)
@@ -197,6 +198,7 @@
         note(self.shares, "big", 900, True, 1.0)
         note(self.shares, "small", 300, False, 1.0)
         self.assertLess(self.shares.get_standing("big", 100, 1.1).factor, 1.0)
+        self.assertEqual(self.shares.get_level(1.1), 600)
         self.assertGreater(self.shares.get_standing("small", 100, 1.1).factor, 1.4)
 
 
