--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -155,7 +155,10 @@
     headroom = _MOST_HEADROOM + (_LEAST_HEADROOM - _MOST_HEADROOM) * crowding
     # After an outage nothing was begun, and by the level alone a usual load would be
     # thinned for 2 s on idle engines; by what is declared all of it passes.
-    level = max(view.level, (1.0 - crowding) * view.declared_level)
+    # It may be infinite, which times nothing is no number.
+    level = view.level
+    if crowding < 1.0:
+        level = max(level, (1.0 - crowding) * view.declared_level)
     rate = (headroom * level + cost) / view.asked
     if view.begun > level:
         rate *= (level / view.begun) ** _CORRECTION
--- a/packages/valeweir_gateway/tests/test_sharing.py
+++ b/packages/valeweir_gateway/tests/test_sharing.py
@@ -13,6 +13,7 @@
 from valeweir_gateway.sums import Totals
 from valeweir_gateway.usage import UsageWindow, compute_level
 
+INFINITE = float("inf")
 PAIRS = st.tuples(st.integers(0, 99), st.integers(0, 99))
 AMOUNTS = st.lists(st.floats(0.0, 1e6), min_size=1, max_size=30)
 
@@ -220,6 +221,8 @@
             "nothing was begun": (ShareView(1_000, 0, 0, 0.0), 1.0, 0.01),
             "and engines are back": (ShareView(1_000, 0, 0, 0.0, 50.0), 0.0, 0.41),
             "and are full again": (ShareView(1_000, 0, 0, 0.0, 500.0), 1.0, 0.01),
+            "all is declared": (ShareView(1_000, 90, 0, 100.0, INFINITE), 1.0, 0.11),
+            "and engines have room": (ShareView(1_000, 90, 0, 100.0, INFINITE), 0.9, 1),
             "much is declared": (ShareView(1_000, 90, 0, 100.0, 500.0), 1.0, 0.11),
         }
         for name, (view, crowding, rate) in cases.items():
