--- a/packages/valeweir_gateway/src/valeweir_gateway/adapters.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/adapters.py
@@ -16,8 +16,10 @@
 
     ``decode_catalog`` takes the bytes of a configuration record and returns a
     `catalog.Catalog`; ``decode_instance`` takes a key and bytes and returns a
-    `directory.Instance`. Both raise `BadRecord`. ``list_parts`` takes the
-    address of an engine and returns the ids of the prompt parts it keeps.
+    `directory.Instance`. Both raise `BadRecord`. ``find_evacuated`` takes a key of
+    the catalog topic and returns the failure domain whose evacuation that record
+    asks for, or None. ``list_parts`` takes the address of an engine and returns the
+    ids of the prompt parts it keeps.
     """
 
     names: HeaderNames
@@ -29,4 +31,5 @@
     member_topic: str
     decode_catalog: Callable
     decode_instance: Callable
+    find_evacuated: Callable
     list_parts: Callable
--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -2,6 +2,7 @@
 
 from . import streams
 from .answers import Head
+from .candidates import may_receive
 from .catalog import RouteKind
 from .checking import ANSWER_MARGIN
 from .connections import LONGEST_IDLE, connect
@@ -22,9 +23,9 @@
         note_failure(state, job, choice, sock)
         return sock
     now = state.clock()
-    if not state.directory.is_ready(instance.id):
+    if not may_receive(state, job, instance, now):
         sock.close()
-        return Failure(Fault.NOT_SENT, "the instance is leaving")
+        return Failure(Fault.NOT_SENT, "the instance takes no more for now")
     exchange = Exchange(
         sock,
         job.reply,
--- a/packages/valeweir_gateway/src/valeweir_gateway/caches.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/caches.py
@@ -49,7 +49,20 @@
             service = catalog.services.get(instance.service) if instance else None
             if service is not None and service.engine is not None:
                 self._asked.add(instance_id)
-                self._queue.put(instance)
+                self._learn(instance)
+
+    def _learn(self, instance):
+        """Take a warming engine's cache as empty; ask the others for theirs.
+
+        One that has just started has read nothing, and calls of every gateway at
+        once are what it bears least.
+        """
+        state = self._state
+        now = state.clock()
+        if state.slow_start.is_warming(instance.id, now):
+            state.loads.note_listed(instance.id, [], now)
+        else:
+            self._queue.put(instance)
 
     def ask(self, instance):
         """Take in what one engine holds; return whether it answered."""
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
@@ -0,0 +1,111 @@
+"""Which instances may get a request, before the best of them is chosen."""
+
+from .refusals import Refusal
+from .repeating import BUSY_RETRY
+
+# The most of a request's time that its client may be told to wait.
+_RETRY_PART = 1 / 3
+_LEAST_RETRY = 0.05
+
+
+def find_candidates(state, job, now):
+    """Return the instances that a request may go to, or the `Refusal`."""
+    ready = state.directory.get_ready(job.service)
+    if not ready:
+        return Refusal(503, "no-upstream", retry_after=BUSY_RETRY)
+    permitted = _keep_permitted(state, job, ready)
+    if not permitted:
+        return Refusal(503, "no-upstream-in-region")
+    ready = _drop_evacuated(state, permitted)
+    if not ready:
+        inputs = {"evacuated": sorted(state.evacuations.domains)}
+        return Refusal(503, "evacuated", retry_after=BUSY_RETRY, inputs=inputs)
+    if job.excluded:
+        ready = [row for row in ready if row.id not in job.excluded]
+    rows = _keep_warm(state, job, _keep_usable(state, ready, now), now)
+    if not rows and not ready:
+        return Refusal(503, "no-upstream", retry_after=BUSY_RETRY)
+    if not rows:
+        # Instances that were set aside may still be better than none.
+        rows = _keep_warm(state, job, ready, now)
+    return rows or _refuse_warming(state, job, ready, now)
+
+
+def may_receive(state, job, instance, now):
+    """Return whether the instance chosen may still get the request."""
+    if not state.directory.is_ready(instance.id):
+        return False
+    if instance.zone in state.evacuations.domains:
+        return False
+    if job.permit == instance.id or not _needs_permit(state, job, instance, now):
+        return True
+    return state.slow_start.take(instance.id, _get_rate(job), now)
+
+
+def take_permit(state, job, instance, now):
+    """Use up the permit that the choice of a warming instance rests on."""
+    if _needs_permit(state, job, instance, now):
+        state.slow_start.take(instance.id, _get_rate(job), now)
+        job.permit = instance.id
+
+
+def get_allowed_regions(route, account):
+    """Return the regions in which a request may run, None for all."""
+    own = route.regions
+    if account is None or not account.regions:
+        return own or None
+    return own & account.regions if own else account.regions
+
+
+def _keep_permitted(state, job, rows):
+    allowed = get_allowed_regions(job.route, job.account)
+    if allowed is None:
+        return rows
+    regions = state.cfg.regions
+    return [row for row in rows if regions.get(row.zone) in allowed]
+
+
+def _drop_evacuated(state, rows):
+    evacuated = state.evacuations.domains
+    if not evacuated:
+        return rows
+    return [row for row in rows if row.zone not in evacuated]
+
+
+def _keep_usable(state, ready, now):
+    usable = state.loads.pick_usable(ready, now)
+    cut = state.domains.get_cut(state.members.get_silent_domains(now), now)
+    if cut:
+        usable = [row for row in usable if row.zone not in cut] or usable
+    return usable
+
+
+def _keep_warm(state, job, rows, now):
+    """Leave out warming instances for which this gateway has no permit."""
+    if not state.slow_start:
+        return rows
+    may_send = state.slow_start.may_send
+    rate = _get_rate(job)
+    return [
+        row
+        for row in rows
+        if not _needs_permit(state, job, row, now) or may_send(row.id, rate, now)
+    ]
+
+
+def _needs_permit(state, job, instance, now):
+    return _get_rate(job) > 0.0 and state.slow_start.is_warming(instance.id, now)
+
+
+def _get_rate(job):
+    service = job.catalog.services.get(job.service)
+    return service.warm_rate if service is not None else 0.0
+
+
+def _refuse_warming(state, job, rows, now):
+    """Return the `Refusal` where all that could serve are warming up."""
+    ends = [state.slow_start.get_end(row.id) for row in rows]
+    retry_after = max(_LEAST_RETRY, min(ends) - now)
+    retry_after = min(retry_after, (job.deadline - now) * _RETRY_PART)
+    inputs = {"warming": len(rows)}
+    return Refusal(503, "upstreams-warming", retry_after=retry_after, inputs=inputs)
--- a/packages/valeweir_gateway/src/valeweir_gateway/catalog.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/catalog.py
@@ -20,7 +20,10 @@
 
 
 class Route(NamedTuple):
-    """A route of an operator. Times are in seconds; priority 0 is highest."""
+    """A route of an operator. Times are in seconds; priority 0 is highest.
+
+    Its requests run in ``regions`` only, anywhere where there are none.
+    """
 
     name: str
     host: str
@@ -34,6 +37,7 @@
     public: bool = False
     resumable: bool = False
     gap_goal: float = 0.0
+    regions: frozenset[str] = frozenset()
 
     @property
     def repeatable(self):
@@ -56,19 +60,29 @@
 
 
 class Service(NamedTuple):
-    """A service: a set of like upstreams."""
+    """A service: a set of like upstreams.
+
+    Each of them warms up for ``warm_time`` seconds after it has come into use and
+    bears ``warm_rate`` requests a second meanwhile, 0 for no such limit.
+    """
 
     name: str
     max_connections: int
     engine: Engine | None
+    warm_time: float = 0.0
+    warm_rate: float = 0.0
 
 
 class Account(NamedTuple):
-    """A client account; a priority of None leaves the route's in force."""
+    """A client account; a priority of None leaves the route's in force.
+
+    Its requests run in ``regions`` only, anywhere where there are none.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None
+    regions: frozenset[str] = frozenset()
 
 
 class Limits(NamedTuple):
--- a/packages/valeweir_gateway/src/valeweir_gateway/checking.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/checking.py
@@ -11,7 +11,8 @@
 
 def check(state, job):
     """Fill in the job; return a `Refusal` for what cannot be served."""
-    if job.catalog is None:
+    if job.catalog is None or not state.catalog_known:
+        # What operators have emptied must be known before the first send.
         return Refusal(503, "not-ready", retry_after=_UNREADY_RETRY)
     headers = job.request.headers
     _note_own_headers(state, job)
--- a/packages/valeweir_gateway/src/valeweir_gateway/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/directory.py
@@ -6,7 +6,10 @@
 
 
 class Instance(NamedTuple):
-    """One run of an upstream; ``cold`` is how long it stays slow, in seconds."""
+    """One run of an upstream.
+
+    ``warming`` is how much longer it warms up, in seconds, as of its record.
+    """
 
     id: str
     service: str
@@ -14,7 +17,7 @@
     zone: str
     slots: int
     ready: bool
-    cold: float = 0.0
+    warming: float = 0.0
 
 
 class Directory:
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -265,6 +265,7 @@
             sorted(state.members.get_silent_domains(now)),
             self._pick_members(now) if with_members else [],
             state.members.own.capacity,
+            catalog_offset=state.catalog_offset,
         )
 
     def _pick_members(self, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -4,13 +4,14 @@
 
 from . import admission
 from .attempts import attempt
+from .candidates import find_candidates, take_permit
 from .checking import check
 from .exchanges import Fault
 from .jobs import Job
 from .placement import choose_engine, choose_instance
 from .recording import note_refusal
 from .refusals import Refusal, send_refusal
-from .repeating import BUSY_RETRY, UNRUN, be_honest, explain, explain_late, may_repeat
+from .repeating import UNRUN, be_honest, explain, explain_late, may_repeat
 from .servers import ClientGone
 
 _LEAST_LEFT = 0.02
@@ -124,31 +125,27 @@
 
 def _place(state, job, now):
     """Return the `Choice` for the next send, or a `Refusal`."""
-    ready = state.directory.get_ready(job.service)
-    if job.excluded:
-        ready = [row for row in ready if row.id not in job.excluded]
-    usable = state.loads.pick_usable(ready, now)
-    cut = state.domains.get_cut(state.members.get_silent_domains(now), now)
-    if cut:
-        usable = [row for row in usable if row.zone not in cut] or usable
-    if not usable:
-        # Instances that were set aside may still be better than none.
-        usable = ready
-    if not usable:
-        return Refusal(503, "no-upstream", retry_after=BUSY_RETRY)
-    if job.prompt is None:
-        zone = state.cfg.domain
-        return choose_instance(usable, state.loads, zone, now, state.rng)
-    engine = job.catalog.services[job.service].engine
-    patience = _PATIENCE_PART * job.route.goal
-    choice = choose_engine(job.prompt, usable, state.loads, now, engine, patience)
-    if job.sends == 0:
+    rows = find_candidates(state, job, now)
+    if isinstance(rows, Refusal):
+        return rows
+    choice = _choose(state, job, rows, now)
+    if job.sends == 0 and job.prompt is not None:
         refusal = admission.decide(state, job, choice, now)
         if refusal is not None:
             return refusal
+    take_permit(state, job, choice.instance, now)
     return choice
 
 
+def _choose(state, job, rows, now):
+    if job.prompt is None:
+        zone = state.cfg.domain
+        return choose_instance(rows, state.loads, zone, now, state.rng)
+    engine = job.catalog.services[job.service].engine
+    patience = _PATIENCE_PART * job.route.goal
+    return choose_engine(job.prompt, rows, state.loads, now, engine, patience)
+
+
 def _note_asked(state, job):
     if job.account is not None and job.prompt is not None:
         name, cost = job.account.name, job.prompt.cost
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -92,6 +92,7 @@
         threading.Thread(target=self._run_loop, name="loop", daemon=True).start()
         asyncio.run_coroutine_threadsafe(self._open(), self._loop).result(_OPEN_WAIT)
         self.timers.subscribe("lapses", _LAPSE_CHECK, self._keeper.end_lapses)
+        self.timers.subscribe("warm-ups", _LAPSE_CHECK, self._keeper.end_warm_ups)
         self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
         self.timers.subscribe("caches", _CACHE_CHECK, self._scout.find_new)
         self.timers.subscribe("domains", PROBE_INTERVAL, self._prober.probe)
@@ -181,6 +182,8 @@
         gauges.wait.set(state.intake.estimate_wait())
         gauges.connections.set(len(self._clients))
         gauges.catalog_version.set(state.catalog.version if state.catalog else 0)
+        gauges.warming.set(len(state.slow_start))
+        gauges.evacuated.set(len(state.evacuations.domains))
         gauges.lag.set(state.pressure.lag)
         gauges.live_peers.set(len(state.members.get_live(state.clock())))
         gauges.instances.set(len(state.directory.by_id))
@@ -282,7 +285,7 @@
         )
 
     return Followers(
-        follow(adapter.catalog_topic, views.apply_catalog),
+        follow(adapter.catalog_topic, views.apply_catalog, views.note_catalog),
         follow(adapter.instance_topic, views.apply_instance, views.note_directory),
         follow(
             adapter.member_topic,
--- a/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
@@ -12,6 +12,7 @@
         "catalog",
         "deadline",
         "draw",
+        "permit",
         "excluded",
         "first_sent",
         "id",
@@ -47,3 +48,5 @@
         self.standing = None
         # Less than any other: a request that was not drawn for passes.
         self.draw = 0.0
+        # The warming instance that it may be sent to, see `slowstart`.
+        self.permit = None
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -31,6 +31,9 @@
         self.malformed = self._counter(
             "requests_malformed", "Requests that do not parse, by status", "code"
         )
+        self.warm_ups = self._counter(
+            "upstream_warm_ups", "Instances taken for warming, by source", "source"
+        )
         self.headers_dropped = self._counter(
             "headers_dropped",
             "Headers from clients that only the fleet may set, by name",
@@ -53,6 +56,10 @@
         self.lag = self._gauge("processor_lag_seconds", "How late the event loop is")
         self.live_peers = self._gauge("live_peers", "Gateways heard from lately")
         self.instances = self._gauge("upstream_instances", "Upstream instances known")
+        self.warming = self._gauge("upstreams_warming", "Instances in slow start")
+        self.evacuated = self._gauge(
+            "domains_evacuated", "Failure domains that get no new work"
+        )
         self.report_bytes = self._gauge("report_bytes_sent", "Bytes of reports sent")
         self.share_level = self._gauge(
             "share_level_tokens",
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -51,7 +51,8 @@
     part digest) of prompt parts that an instance reads for the first time.
     ``silent`` names failure domains that the sender's relays hear nothing of.
     ``members`` are rows of host, failure domain, address and capacity. One with
-    ``only_reads`` holds no figures and replaces none.
+    ``only_reads`` holds no figures and replaces none. ``catalog_offset`` is how far
+    the sender has read the configuration topic, which holds evacuations too.
     """
 
     version: int
@@ -72,6 +73,7 @@
     members: list[tuple[str, str, str, float]] = []
     capacity: float = 1.0
     only_reads: bool = False
+    catalog_offset: int = 0
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -70,6 +70,17 @@
     leave_within_ms: float = 2000.0
 
 
+class SlowStart(msgspec.Struct, frozen=True):
+    """Bound on the requests that one warming upstream gets within a second.
+
+    It is ``factor`` times the rate that the upstream's service declares, and
+    ``slack`` more.
+    """
+
+    factor: float = 1.0
+    slack: float = 0.0
+
+
 class Processor(msgspec.Struct, frozen=True):
     """What this host may use: a part of a core, and how many there are."""
 
@@ -110,19 +121,21 @@
 
 
 class GatewaySettings(msgspec.Struct, frozen=True):
-    """Settings of one gateway."""
+    """Settings of one gateway; ``regions`` names the region of each domain."""
 
     host: str
     domain: str
     listen: Listen
     store: Store
     seeds: list[str] = []
+    regions: dict[str, str] = {}
     retries: Retries = Retries()
     stop: Stop = Stop()
     sharing: Sharing = Sharing()
     descriptors: Descriptors = Descriptors()
     streams: Streams = Streams()
     upstreams: Upstreams = Upstreams()
+    slow_start: SlowStart = SlowStart()
     processor: Processor = Processor()
     memory: Memory = Memory()
 
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/slowstart.py
@@ -0,0 +1,152 @@
+"""Slow start: what may be sent to upstreams that have just come into use.
+
+A warming upstream bears few requests a second and fails beyond that, while it
+looks best to every gateway at once, being idle. Gateways cannot count each other's
+sends within a second, so each draws at random the times of permits to send one
+request there, at a rate that is its even part of a fleet-wide mean. All permits
+together are then a Poisson process of that mean, however gateways come and go or
+differ in what they know: one that is cut off or gone only leaves its part unused,
+and none has to be heard from.
+
+The mean is so far below the bound that a second goes beyond it once in a million,
+with every permit used: 2.6 a second where the bound is 14.
+"""
+
+import math
+from typing import NamedTuple
+
+# Chance that one second's permits go beyond the bound.
+_CHANCE = 1e-6
+_BISECTIONS = 40
+# Seconds in which a permit must be used. Longer ones would let what was not used in one
+# second be sent in the next.
+_PERMIT_LIFETIME = 0.25
+# Seconds after the start in which the size of the fleet may not be known yet.
+_SETTLE = 2.0
+
+
+class WarmUp(NamedTuple):
+    """Belief about one instance; ``until`` on the steady clock, ``source`` for logs."""
+
+    until: float
+    source: str
+
+
+class SlowStart:
+    """Which instances warm up, and when this gateway may send to each.
+
+    Parameters
+    ----------
+    rng : random.Random
+    count_gateways : callable
+        Returns how many gateways there are, or None while that is not known.
+    bound : settings.SlowStart
+    """
+
+    def __init__(self, rng, count_gateways, bound):
+        self._rng = rng
+        self._count_gateways = count_gateways
+        self._bound = bound
+        self._warming = {}
+        self._drawn = {}
+
+    def __len__(self):
+        return len(self._warming)
+
+    def note(self, instance_id, until, source, now):
+        """Note that an instance warms up; return whether that is news."""
+        fresh = not self.is_warming(instance_id, now)
+        known = self._warming.get(instance_id)
+        if known is None or until > known.until:
+            self._warming[instance_id] = WarmUp(until, source)
+        return fresh
+
+    def forget(self, instance_id):
+        """Note that an instance is warm, or gone; return whether it was warming."""
+        self._drawn.pop(instance_id, None)
+        return self._warming.pop(instance_id, None) is not None
+
+    def is_warming(self, instance_id, now):
+        """Return whether sends to the instance need a permit."""
+        return self.get_end(instance_id) > now
+
+    def get_end(self, instance_id):
+        """Return when the instance is warm (steady clock), 0 where it always was."""
+        known = self._warming.get(instance_id)
+        return 0.0 if known is None else known.until
+
+    def take_ended(self, now):
+        """Return and forget the ids of instances whose time of warming up is over."""
+        ended = [name for name, row in self._warming.items() if now >= row.until]
+        for name in ended:
+            self.forget(name)
+        return ended
+
+    def may_send(self, instance_id, rate, now):
+        """Return whether this gateway has a permit for the instance now.
+
+        Parameters
+        ----------
+        rate : float
+            Requests a second that the instance bears while it warms up.
+        """
+        at = self._drawn.get(instance_id)
+        if at is None or now > at + _PERMIT_LIFETIME:
+            at = self._draw(instance_id, rate, now)
+        return at is not None and at <= now
+
+    def take(self, instance_id, rate, now):
+        """Use the permit for one send; return whether there was one."""
+        if not self.may_send(instance_id, rate, now):
+            return False
+        self._draw(instance_id, rate, now)
+        return True
+
+    def _draw(self, instance_id, rate, now):
+        """Draw the next permit's time, passing over those that nobody came for."""
+        mean = self._compute_own_rate(rate)
+        if mean is None:
+            return None
+        at = self._drawn.get(instance_id, now)
+        at = max(at, now - _PERMIT_LIFETIME) + self._rng.expovariate(mean)
+        self._drawn[instance_id] = at
+        return at
+
+    def _compute_own_rate(self, rate):
+        gateways = self._count_gateways()
+        if gateways is None:
+            return None
+        most = rate * self._bound.factor + self._bound.slack
+        return min(rate, compute_mean(most)) / gateways
+
+
+def compute_mean(bound):
+    """Return the mean of a Poisson count that rarely goes beyond ``bound``.
+
+    By Chernoff's inequality, which errs on the safe side.
+    """
+    least = math.floor(bound) + 1
+    low, high = 0.0, float(least)
+    for _ in range(_BISECTIONS):
+        mean = (low + high) / 2
+        if least - mean + least * math.log(mean / least) > math.log(_CHANCE):
+            high = mean
+        else:
+            low = mean
+    return low
+
+
+def create_gateway_count(state):
+    """Return a function that counts the fleet, for `SlowStart`.
+
+    A gateway that has just started may know nobody and would take the whole rate
+    for itself; it waits until it has read the list of members, or heard reports.
+    """
+    started = state.clock()
+
+    def count():
+        if not state.members_known and state.clock() - started < _SETTLE:
+            return None
+        return max(1, len(state.members), state.retries.gateways)
+
+    return count
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -8,6 +8,7 @@
 from .connections import Connections
 from .directory import Directory
 from .domains import Domains
+from .evacuations import Evacuations
 from .goals import RecentGoals
 from .headers import HeaderNames, get_own_headers, get_replaced_headers
 from .intake import Intake
@@ -18,6 +19,7 @@
 from .pressure import Overload, Pressure, get_occupancy_level
 from .retries import RetryBudget
 from .shares import Shares
+from .slowstart import SlowStart, create_gateway_count
 from .usage import UsageWindow
 
 
@@ -45,6 +47,9 @@
         self.lapses = Lapses(cfg.upstreams.leave_within_ms / 1000.0)
         self.members_known = False
         self.directory_offset = 0
+        self.catalog_offset = 0
+        self.catalog_known = False
+        self.evacuations = Evacuations()
         self.bad_records = 0
         self.loads = Loads()
         self.reads = Reads()
@@ -62,6 +67,9 @@
         self.connections = Connections(clock)
         retries = cfg.retries
         self.retries = RetryBudget(retries.ratio, retries.slack, retries.window)
+        self.slow_start = SlowStart(
+            self.rng, create_gateway_count(self), cfg.slow_start
+        )
         self.stopping = False
         self.refusing = False
         self.stop_end = 0.0
@@ -82,7 +90,8 @@
 
     def is_ready(self):
         """Return whether the balancer should send clients here."""
-        if self.catalog is None or not self.directory_known or self.stopping:
+        known = self.catalog_known and self.directory_known
+        if self.catalog is None or not known or self.stopping:
             return False
         return not self.overload.check(self.get_pressure(), self.clock())
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -105,10 +105,10 @@
     def find_newer(self, now):
         """Return the live peer with the newest view if it is newer, or None."""
         state = self._state
-        own = (state.catalog.version if state.catalog else 0, state.directory_offset)
+        own = (state.catalog_offset, state.directory_offset)
         best = None
         for peer in state.members.get_live(now):
-            theirs = (peer.report.catalog_version, peer.report.directory_offset)
+            theirs = (peer.report.catalog_offset, peer.report.directory_offset)
             newer = theirs[0] > own[0] or theirs[1] > own[1]
             if newer and (best is None or theirs > best[0]):
                 best = (theirs, peer)
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -18,6 +18,9 @@
 
     def apply_catalog(self, entry):
         """Take in a record of the configuration topic."""
+        domain = self._adapter.find_evacuated(entry.key)
+        if domain is not None:
+            self._apply_evacuation(domain, entry)
         if entry.key != self._adapter.catalog_key or entry.value is None:
             return
         try:
@@ -35,6 +38,62 @@
             accounts=len(catalog.accounts),
         )
 
+    def note_catalog(self, offset):
+        """Note that the configuration topic is known up to ``offset``."""
+        self._state.catalog_offset = offset
+        self._state.catalog_known = True
+
+    def _apply_evacuation(self, domain, entry):
+        state = self._state
+        if entry.value is not None:
+            if state.evacuations.begin(domain):
+                state.log.note(
+                    "evacuation in force", domain=domain, offset=entry.offset
+                )
+            return
+        if domain in state.evacuations.domains:
+            # First, as its instances get work again once the evacuation is over.
+            self._warm_up_domain(domain)
+            state.evacuations.end(domain)
+            state.log.note("evacuation over", domain=domain, offset=entry.offset)
+
+    def _warm_up_domain(self, domain):
+        """Take every instance of a domain for warming until its record says else.
+
+        Nothing was sent there for a while, and all gateways come back at once.
+        """
+        state = self._state
+        now = state.clock()
+        with self._lock:
+            for row in state.directory.get_all_ready():
+                if row.zone == domain:
+                    self._note_warming(row, self._get_warm_time(row), "evacuation", now)
+
+    def _get_warm_time(self, instance):
+        catalog = self._state.catalog
+        service = catalog.services.get(instance.service) if catalog else None
+        return service.warm_time if service else 0.0
+
+    def _note_warming(self, instance, seconds, source, now):
+        state = self._state
+        if seconds <= 0.0:
+            return
+        if state.slow_start.note(instance.id, now + seconds, source, now):
+            state.metrics.warm_ups.labels(source).inc()
+            state.log.note(
+                "upstream warming",
+                upstream=instance.id,
+                domain=instance.zone,
+                source=source,
+                seconds=round(seconds, 3),
+            )
+
+    def end_warm_ups(self):
+        """Note which instances have warmed up."""
+        with self._lock:
+            for instance_id in self._state.slow_start.take_ended(self._state.clock()):
+                self._state.log.note("upstream warm", upstream=instance_id)
+
     def apply_instance(self, entry):
         """Take in a record of the instances topic."""
         with self._lock:
@@ -81,6 +140,12 @@
         held = state.lapses.release(instance.id)
         if old == instance and not held:
             return
+        # Before any request can be sent there.
+        now = state.clock()
+        if instance.warming > 0.0:
+            self._note_warming(instance, instance.warming, "record", now)
+        elif state.slow_start.forget(instance.id):
+            state.log.note("upstream warm", upstream=instance.id, offset=entry.offset)
         state.directory.put(instance)
         if held or old is None or old.ready != instance.ready:
             state.log.note(
@@ -117,6 +182,7 @@
         state = self._state
         state.connections.drop(instance.id)
         state.loads.forget(instance.id)
+        state.slow_start.forget(instance.id)
         state.log.note("upstream gone", upstream=instance.id, offset=offset)
 
     def _note_bad(self, what, offset, exc):
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -25,7 +25,9 @@
 from valeweir_gateway.prompts import Prompt
 from valeweir_gateway.reports import get_digest
 from valeweir_gateway.settings import Sharing
+from valeweir_gateway.settings import SlowStart as SlowStartBound
 from valeweir_gateway.shares import Shares
+from valeweir_gateway.slowstart import SlowStart
 from valeweir_gateway.usage import UsageWindow
 
 NOW = 50.0
@@ -65,6 +67,7 @@
         clock=lambda: NOW,
         rng=random.Random(1),
     )
+    state.slow_start = SlowStart(state.rng, lambda: 1, SlowStartBound())
     state.get_pressure = lambda: state.pressure.level
     return state
 
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_candidates.py
@@ -0,0 +1,189 @@
+import random
+import unittest
+from types import SimpleNamespace
+
+from valeweir_gateway.candidates import (
+    find_candidates,
+    get_allowed_regions,
+    may_receive,
+    take_permit,
+)
+from valeweir_gateway.catalog import (
+    Account,
+    Catalog,
+    Engine,
+    Limits,
+    Route,
+    RouteKind,
+    Service,
+    Target,
+)
+from valeweir_gateway.directory import Directory, Instance
+from valeweir_gateway.domains import Domains
+from valeweir_gateway.evacuations import Evacuations
+from valeweir_gateway.loads import Loads
+from valeweir_gateway.members import Member, Members
+from valeweir_gateway.refusals import Refusal
+from valeweir_gateway.settings import SlowStart as Bound
+from valeweir_gateway.slowstart import SlowStart
+
+NOW = 50.0
+REGIONS = {"a": "north", "b": "north", "c": "south"}
+
+
+def make_route(regions=()):
+    targets = (Target("llm", 1.0),)
+    kind = RouteKind.STREAM
+    return Route(
+        "r", "h", "/", kind, 6.0, 0.8, 1, targets, 1, regions=frozenset(regions)
+    )
+
+
+class CandidateCase(unittest.TestCase):
+    def setUp(self):
+        self.state = SimpleNamespace(
+            cfg=SimpleNamespace(regions=REGIONS),
+            directory=Directory(),
+            evacuations=Evacuations(),
+            slow_start=SlowStart(random.Random(1), lambda: 1, Bound(1.5, 5.0)),
+            loads=Loads(),
+            domains=Domains("a"),
+            members=Members(Member("g", "a", "127.0.0.1:9")),
+        )
+        for zone in REGIONS:
+            instance = Instance(f"i-{zone}", "llm", "10.0.0.1:1", zone, 8, True)
+            self.state.directory.put(instance)
+        self.job = self.make_job()
+
+    def make_job(self, route_regions=(), account_regions=()):
+        service = Service("llm", 8, Engine(64, 1_000), 3.0, 6.1)
+        account = Account("one", ("k",), None, frozenset(account_regions))
+        route = make_route(route_regions)
+        return SimpleNamespace(
+            catalog=Catalog(1, [route], [service], [account], Limits()),
+            route=route,
+            account=account,
+            service="llm",
+            excluded=set(),
+            permit=None,
+            deadline=NOW + 6.0,
+        )
+
+    def find(self, job=None, now=NOW):
+        found = find_candidates(self.state, job or self.job, now)
+        if isinstance(found, Refusal):
+            return found
+        return {row.zone for row in found}
+
+    def get(self, zone):
+        return self.state.directory.by_id[f"i-{zone}"]
+
+
+class TestEvacuated(CandidateCase):
+    def test_nothing_goes_to_the_domain(self):
+        self.state.evacuations.begin("b")
+        self.assertEqual(self.find(), {"a", "c"})
+
+    def test_one_chosen_before_gets_nothing_after(self):
+        self.assertTrue(may_receive(self.state, self.job, self.get("b"), NOW))
+        self.state.evacuations.begin("b")
+        self.assertFalse(may_receive(self.state, self.job, self.get("b"), NOW))
+
+    def test_where_nothing_is_left_it_is_refused_at_once(self):
+        for zone in REGIONS:
+            self.state.evacuations.begin(zone)
+        refusal = self.find()
+        self.assertEqual((refusal.status, refusal.code), (503, "evacuated"))
+
+    def test_not_even_as_the_last_resort(self):
+        self.state.evacuations.begin("b")
+        self.job.excluded = {"i-a", "i-c"}
+        self.assertEqual(self.find().status, 503)
+
+    def test_over(self):
+        self.state.evacuations.begin("b")
+        self.state.evacuations.end("b")
+        self.assertEqual(self.find(), set(REGIONS))
+
+
+class TestRegions(CandidateCase):
+    def test_table(self):
+        cases = [
+            ((), (), {"a", "b", "c"}),
+            (("south",), (), {"c"}),
+            ((), ("north",), {"a", "b"}),
+            (("north", "south"), ("south",), {"c"}),
+        ]
+        for route, account, expected in cases:
+            with self.subTest(route=route, account=account):
+                self.assertEqual(self.find(self.make_job(route, account)), expected)
+
+    def test_refused_at_once_where_none_can_serve(self):
+        for route, account in [(("north",), ("south",)), (("west",), ())]:
+            with self.subTest(route=route, account=account):
+                refusal = self.find(self.make_job(route, account))
+                self.assertEqual(refusal.code, "no-upstream-in-region")
+                self.assertEqual(refusal.outcome.value, "not-run")
+
+    def test_a_repeat_stays_in_its_region(self):
+        job = self.make_job(("south",))
+        job.excluded = {"i-c"}
+        self.assertEqual(self.find(job).status, 503)
+
+    def test_a_domain_of_no_known_region_is_in_none(self):
+        other = Instance("i-d", "llm", "10.0.0.1:1", "d", 8, True)
+        self.state.directory.put(other)
+        self.assertEqual(self.find(self.make_job(("south",))), {"c"})
+
+    def test_both_bind(self):
+        route = make_route(("north", "south"))
+        account = Account("one", (), None, frozenset(("south", "west")))
+        self.assertEqual(get_allowed_regions(route, account), {"south"})
+        self.assertEqual(get_allowed_regions(route, None), {"north", "south"})
+
+
+class TestWarming(CandidateCase):
+    def warm_up(self, *zones):
+        for zone in zones:
+            self.state.slow_start.note(f"i-{zone}", NOW + 3.0, "record", NOW)
+
+    def find_permitted(self, zone):
+        """Return a moment at which there is a permit for the domain's instance."""
+        for step in range(2_000):
+            now = NOW + step * 0.001
+            found = self.find(now=now)
+            if not isinstance(found, Refusal) and zone in found:
+                return now
+        return None
+
+    def test_left_out_without_a_permit(self):
+        self.warm_up("b")
+        self.assertEqual(self.find(), {"a", "c"})
+        self.assertEqual(self.find(now=NOW + 3.1), set(REGIONS))
+
+    def test_a_permit_serves_once(self):
+        self.warm_up("b")
+        now = self.find_permitted("b")
+        take_permit(self.state, self.job, self.get("b"), now)
+        self.assertTrue(may_receive(self.state, self.job, self.get("b"), now))
+        other = self.make_job()
+        self.assertFalse(may_receive(self.state, other, self.get("b"), now))
+        self.assertNotIn("b", self.find(now=now))
+
+    def test_one_chosen_while_warm_gets_nothing_once_warming(self):
+        take_permit(self.state, self.job, self.get("b"), NOW)
+        self.warm_up("b")
+        self.assertFalse(may_receive(self.state, self.job, self.get("b"), NOW))
+
+    def test_all_warming(self):
+        """Refused at once, told to come back when they are warm."""
+        self.warm_up(*REGIONS)
+        self.job.deadline = NOW + 12.0
+        refusal = self.find()
+        self.assertEqual((refusal.status, refusal.code), (503, "upstreams-warming"))
+        self.assertAlmostEqual(refusal.retry_after, 3.0)
+
+    def test_a_service_without_a_limit(self):
+        self.warm_up("b")
+        self.job.catalog.services["llm"] = Service("llm", 8, None)
+        self.assertEqual(self.find(), set(REGIONS))
--- a/packages/valeweir_standins/src/valeweir_standins/wires.py
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -75,6 +75,7 @@
         catalog=None,
         directory=Directory(),
         directory_offset=0,
+        catalog_offset=0,
         get_store_age=lambda now: 0.0,
         loads=Loads(),
         log=SimpleNamespace(note=lambda *args, **fields: None),
