--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -274,6 +274,9 @@
         load.unread = max(0, load.unread - work.tokens)
 
     def _learn(self, work, load, elapsed):
+        if work.tokens == 0:
+            # A plain call; what it takes says nothing of engines.
+            return
         total = work.ahead + work.tokens
         reading = elapsed - self.base
         if total < _LEAST_READ:
--- a/packages/valeweir_gateway/tests/test_placement.py
+++ b/packages/valeweir_gateway/tests/test_placement.py
@@ -216,6 +216,15 @@
             self.loads.finish(work, now + 0.5)
         self.assertAlmostEqual(self.loads.rate, 100_000, delta=10_000)
 
+    def test_plain_calls_say_nothing_of_engines(self):
+        base, rate = self.loads.base, self.loads.rate
+        for number in range(100):
+            now = NOW + number
+            work = self.loads.start("plain", 0, now)
+            self.loads.note_progress(work, now + 0.9)
+            self.loads.finish(work, now + 0.9)
+        self.assertEqual((self.loads.base, self.loads.rate), (base, rate))
+
     def test_ejection_and_slow_return(self):
         self.assertIsNone(self.loads.note_error("i0", NOW))
         pause = self.loads.note_error("i0", NOW)
