--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -12,11 +12,14 @@
 _CROWDED_PART = 0.4
 # Times to come back, in seconds.
 _LEAST_RETRY = 0.3
+_LEAST_CALL_RETRY = 0.1
 _ELSEWHERE_RETRY = 0.02
 # Of a try beyond its account's share: a quarter of the window that the share is of.
 _BEYOND_RETRY = 1.0
-# A request with less than this part of its route's time left has come back.
-_RETURNED_PART = 0.97
+# A client that has spent more than this part of its time has come back. With less, all
+# repeats of an account that floods count, and one that asks little gets 0.80 of it on
+# the fake clock of the tests, not 0.85.
+_RETURNED_PART = 0.03
 # Its wait limit against the usual; near the greatest that a share gives.
 _RETURNED_FACTOR = 1.3
 # The most of a request's time that its client may be told to wait.
@@ -63,6 +66,36 @@
     return Refusal(503, "engines-busy", retry_after=retry_after, inputs=inputs)
 
 
+def decide_call(state, job, choice, now):
+    """Return None to send a plain call, or the `Refusal`.
+
+    A call that would end beyond its goal waits at the upstream with all behind it,
+    until every answer is late. It goes out only where a place is free.
+    """
+    load = state.loads.get(choice.instance.id, now)
+    if load.active + load.remote_active < choice.instance.slots:
+        return None
+    limit = _get_goal_left(job, now)
+    if choice.wait <= limit:
+        return None
+    retry_after = max(_LEAST_CALL_RETRY, choice.wait - job.route.goal / 2)
+    retry_after = min(retry_after, (job.deadline - now) * _RETRY_PART)
+    inputs = {
+        "upstream": choice.instance.id,
+        "expected_ms": round(choice.wait * 1000),
+        "limit_ms": round(limit * 1000),
+        "running_own": load.active,
+        "running_peers": load.remote_active,
+        "slots": choice.instance.slots,
+    }
+    return Refusal(503, "calls-busy", retry_after=retry_after, inputs=inputs)
+
+
+def _get_goal_left(job, now):
+    """Return what is left of the goal, counted from the client's first try."""
+    return job.route.goal - job.spent - (now - job.arrived)
+
+
 def _thin(state, job, standing, crowding, now):
     """Return None for the part of an account's tries that its share allows."""
     if job.account is None:
@@ -135,5 +168,5 @@
 
 
 def is_returned(job):
-    """Return whether less time is left than the route gives: a second try."""
-    return job.allowed < _RETURNED_PART * job.route.timeout
+    """Return whether the client has tried before."""
+    return job.spent > _RETURNED_PART * (job.spent + job.allowed)
--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -100,13 +100,20 @@
     body = await exchange.read_body()
     if isinstance(body, Failure):
         return body
-    state.loads.note_progress(work, state.clock())
+    _note_answered(state, choice, work)
     if head.status >= _SERVER_ERROR and _may_answer_differently(state, job):
         return Failure(Fault.AMBIGUOUS, "server error", head.status)
     _send_answer(job, head, body)
     return None
 
 
+def _note_answered(state, choice, work):
+    now = state.clock()
+    state.loads.note_progress(work, now)
+    if work.tokens == 0:
+        state.loads.note_call(work, choice.instance.slots, now - work.sent)
+
+
 async def _reject(exchange, head):
     # Reading the rest of a rejection keeps the connection for the next one.
     body = await exchange.read_body()
--- a/packages/valeweir_gateway/src/valeweir_gateway/checking.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/checking.py
@@ -24,7 +24,7 @@
         job.account = job.catalog.find_account(key.strip())
         if job.account is None or scheme.lower() != "bearer":
             return Refusal(401, "unknown-key")
-    job.allowed = _get_time_allowed(state, job)
+    _note_time(state, job)
     job.deadline = job.arrived + job.allowed
     if state.refusing and not _ends_in_time(state, job):
         return Refusal(503, "stopping", retry_after=_ELSEWHERE_RETRY)
@@ -49,15 +49,22 @@
     state.log.note("headers dropped", id=job.id, names=found)
 
 
-def _get_time_allowed(state, job):
-    allowed = job.route.timeout
-    text = job.request.headers.get(state.names.deadline)
-    if text is not None:
-        try:
-            allowed = min(allowed, float(text) / 1000.0)
-        except ValueError:
-            pass
-    return max(0.0, allowed - ANSWER_MARGIN)
+def _note_time(state, job):
+    """Note how long the client and the route let the request take."""
+    wait = _get_client_wait(state, job)
+    if wait is None:
+        job.allowed = max(0.0, job.route.timeout - ANSWER_MARGIN)
+        return
+    job.spent = state.patience.note(job.route.name, wait, job.arrived)
+    job.allowed = max(0.0, min(job.route.timeout, wait) - ANSWER_MARGIN)
+
+
+def _get_client_wait(state, job):
+    """Return the seconds that the client will still wait, None where it is not said."""
+    try:
+        return float(job.request.headers.get(state.names.deadline)) / 1000.0
+    except (TypeError, ValueError):
+        return None
 
 
 def _ends_in_time(state, job):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -129,8 +129,9 @@
     if isinstance(rows, Refusal):
         return rows
     choice = _choose(state, job, rows, now)
-    if job.sends == 0 and job.prompt is not None:
-        refusal = admission.decide(state, job, choice, now)
+    if job.sends == 0:
+        decide = admission.decide if job.prompt else admission.decide_call
+        refusal = decide(state, job, choice, now)
         if refusal is not None:
             return refusal
     take_permit(state, job, choice.instance, now)
--- a/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
@@ -24,6 +24,7 @@
         "route",
         "sends",
         "service",
+        "spent",
         "standing",
     )
 
@@ -38,6 +39,8 @@
         self.prompt = None
         self.allowed = 0.0
         self.deadline = arrived
+        # Seconds that its client has spent on tries before this one.
+        self.spent = 0.0
         self.service = None
         self.excluded = set()
         self.sends = 0
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -18,6 +18,10 @@
 _FIRST_BASE = 0.05
 _BASE_MEMORY = 0.02
 _LEAST_READ = 1_500
+# Seconds that a plain call takes to begin with, and the part of the mean that a new
+# figure makes up.
+_FIRST_CALL_TIME = 0.05
+_CALL_MEMORY = 0.1
 _CACHE_LIFETIME = 60.0
 _MAX_PARTS = 20_000
 _MAX_READS = 200
@@ -32,6 +36,7 @@
 
     __slots__ = (
         "active",
+        "call_time",
         "errors",
         "heard",
         "pause",
@@ -54,6 +59,8 @@
         self.until = 0.0
         self.probing = False
         self.slowness = 1.0
+        # Seconds that a plain call takes here with a place of its own.
+        self.call_time = None
 
 
 class Work:
@@ -92,6 +99,7 @@
         self._listed = set()
         self.rate = _FIRST_RATE
         self.base = _FIRST_BASE
+        self.call_time = _FIRST_CALL_TIME
 
     def get(self, instance_id, now):
         """Return the `InstanceLoad` of an instance."""
@@ -161,6 +169,25 @@
         """Return the same for an instance that has nothing else to read."""
         return self.base + load.slowness * tokens / self.rate
 
+    def estimate_call(self, load, slots):
+        """Return seconds that a plain call takes at an instance with ``slots``.
+
+        Calls beyond the slots wait for one, in order of arrival.
+        """
+        own = self.call_time if load.call_time is None else load.call_time
+        return own * _count_turns(load.active + load.remote_active, slots)
+
+    def note_call(self, work, slots, elapsed):
+        """Learn from the time that a plain call took."""
+        own = elapsed / _count_turns(work.running, slots)
+        with self._lock:
+            load = self._by_id.get(work.instance_id)
+            if load is None:
+                return
+            self.call_time += _CALL_MEMORY * (own - self.call_time)
+            known = self.call_time if load.call_time is None else load.call_time
+            load.call_time = known + _CALL_MEMORY * (own - known)
+
     def start(self, instance_id, tokens, now):
         """Note a request sent; return its `Work`."""
         with self._lock:
@@ -291,6 +318,11 @@
         load.slowness += 0.1 * (min(8.0, max(0.5, slowness)) - load.slowness)
 
 
+def _count_turns(running, slots):
+    """Return how many times its own time a call takes behind ``running`` others."""
+    return max(1.0, (running + 1) / max(1, slots))
+
+
 class Reads:
     """Prompt parts that an instance reads for the first time, for the peers."""
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement.py
@@ -166,17 +166,20 @@
 def choose_instance(instances, loads, zone, now, rng):
     """Return the `Choice` among instances of a plain service, or None.
 
-    The least loaded for its slots goes first; equal ones by zone, then by
-    chance, so that gateways do not all pick the same.
+    The one expected to answer first goes first, among those with free places the
+    least loaded; equal ones by chance, so that gateways do not all pick the same.
     """
     best = None
     for instance in instances:
         load = loads.get(instance.id, now)
         busy = (load.active + load.remote_active) / max(1, instance.slots)
         remote = _REMOTE_ZONE_WAIT if instance.zone != zone else 0.0
-        score = (busy * load.slowness + remote, rng.random())
+        wait = loads.estimate_call(load, instance.slots) + remote
+        # Some become slower when nearly full.
+        score = (wait + busy * loads.call_time, rng.random())
         if best is None or score < best[0]:
-            best = (score, instance)
+            best = (score, instance, wait)
     if best is None:
         return None
-    return Choice(best[1], 0, 0.0, 0.0, "least loaded")
+    _, instance, wait = best
+    return Choice(instance, 0, wait, loads.call_time, "least loaded")
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -16,6 +16,7 @@
 from .loads import Loads, Reads
 from .members import Member, Members
 from .metrics import GatewayMetrics
+from .patience import Patience
 from .pressure import Overload, Pressure, get_occupancy_level
 from .retries import RetryBudget
 from .shares import Shares
@@ -55,6 +56,7 @@
         self.reads = Reads()
         self.intake = Intake()
         self.goals = RecentGoals()
+        self.patience = Patience()
         self.pressure = Pressure(log)
         self.overload = Overload(log)
         self.domains = Domains(cfg.domain)
--- a/packages/valeweir_gateway/tests/conflicts.py
+++ b/packages/valeweir_gateway/tests/conflicts.py
@@ -216,6 +216,7 @@
             prompt=prompt,
             allowed=deadline - self.now,
             deadline=deadline,
+            spent=kind.deadline - (deadline - self.now),
         )
         choice = None
         refusal = decide_by_share(state, job, self.now)
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -3,7 +3,12 @@
 from types import SimpleNamespace
 
 from valeweir.exceptions import PlatformUnavailable
-from valeweir_gateway.admission import decide, decide_by_pressure, decide_by_share
+from valeweir_gateway.admission import (
+    decide,
+    decide_by_pressure,
+    decide_by_share,
+    decide_call,
+)
 from valeweir_gateway.caches import CacheScout
 from valeweir_gateway.catalog import (
     Account,
@@ -20,6 +25,7 @@
 from valeweir_gateway.intake import Intake
 from valeweir_gateway.loads import Loads
 from valeweir_gateway.members import Member, Members
+from valeweir_gateway.patience import Patience
 from valeweir_gateway.placement import Choice
 from valeweir_gateway.pressure import Level, Overload, Pressure, get_occupancy_level
 from valeweir_gateway.prompts import Prompt
@@ -85,6 +91,7 @@
             account=catalog.accounts[account] if account else None,
             prompt=PROMPT,
             allowed=allowed,
+            spent=ROUTE.timeout - allowed,
             deadline=NOW + allowed,
             draw=draw,
         )
@@ -208,6 +215,7 @@
             account=account,
             prompt=PROMPT,
             allowed=allowed,
+            spent=ROUTE.timeout - allowed,
         )
         return decide_by_pressure(state, job, NOW)
 
@@ -246,6 +254,7 @@
             account=catalog.accounts["one"],
             prompt=PROMPT,
             allowed=allowed,
+            spent=ROUTE.timeout - allowed,
         )
         return decide_by_pressure(self.state, job, NOW) is not None
 
@@ -338,6 +347,92 @@
         self.assertEqual(goals.note("t", 0.8, 0.0), 0.8)
 
 
+class TestPatience(unittest.TestCase):
+    """What a client has spent before is told by the longest waits named of late."""
+
+    def setUp(self):
+        self.patience = Patience()
+
+    def test_first_and_second_tries(self):
+        self.assertEqual(self.patience.note("r", 1.5, NOW), 0.0)
+        self.assertAlmostEqual(self.patience.note("r", 1.1, NOW + 0.4), 0.4)
+        self.assertEqual(self.patience.note("r", 1.5, NOW + 1.0), 0.0)
+
+    def test_routes_are_apart(self):
+        self.patience.note("r", 9.0, NOW)
+        self.assertEqual(self.patience.note("other", 1.0, NOW), 0.0)
+
+    def test_waits_of_long_ago_count_no_more(self):
+        self.patience.note("r", 9.0, NOW)
+        self.patience.note("r", 1.0, NOW + 6.0)
+        self.patience.note("r", 1.0, NOW + 12.0)
+        self.assertEqual(self.patience.note("r", 1.0, NOW + 12.1), 0.0)
+
+
+class TestDecideCall(unittest.TestCase):
+    slots = PLAIN.slots
+
+    def setUp(self):
+        self.state = make_state()
+        self.state.loads.call_time = 0.1
+
+    def decide(self, running, spent=0.0):
+        for _ in range(running):
+            self.state.loads.start(PLAIN.id, 0, NOW)
+        load = self.state.loads.get(PLAIN.id, NOW)
+        wait = self.state.loads.estimate_call(load, PLAIN.slots)
+        job = SimpleNamespace(
+            route=SimpleNamespace(goal=0.4, name="call"),
+            spent=spent,
+            arrived=NOW,
+            deadline=NOW + 1.5,
+        )
+        choice = Choice(PLAIN, 0, wait, 0.1, "least loaded")
+        return decide_call(self.state, job, choice, NOW)
+
+    def test_while_a_place_is_free_it_goes_out(self):
+        self.assertIsNone(self.decide(self.slots - 1))
+        self.assertIsNone(self.decide(0, spent=1.0), "late is better than never")
+
+    def test_a_wait_that_the_goal_bears(self):
+        self.assertIsNone(self.decide(2 * self.slots))
+
+    def test_a_wait_beyond_the_goal(self):
+        refusal = self.decide(5 * self.slots)
+        self.assertEqual((refusal.status, refusal.code), (503, "calls-busy"))
+        self.assertLessEqual(refusal.retry_after, 0.5)
+
+    def test_what_was_spent_before_counts(self):
+        self.assertIsNotNone(self.decide(2 * self.slots, spent=0.3))
+
+
+class TestCallTimes(unittest.TestCase):
+    def setUp(self):
+        self.loads = Loads()
+
+    def call(self, running, elapsed, name="i"):
+        for _ in range(running):
+            self.loads.start(name, 0, NOW)
+        work = self.loads.start(name, 0, NOW)
+        self.loads.note_call(work, 6, elapsed)
+        for _ in range(running + 1):
+            self.loads.finish(work, NOW)
+
+    def test_waiting_is_told_from_the_call_itself(self):
+        for _ in range(100):
+            self.call(17, 0.3)
+        load = self.loads.get("i", NOW)
+        self.assertAlmostEqual(load.call_time, 0.1, delta=0.005)
+        self.assertAlmostEqual(self.loads.estimate_call(load, 6), 0.1, delta=0.005)
+
+    def test_slow_instances_are_known(self):
+        for _ in range(50):
+            self.call(0, 0.1, "quick")
+            self.call(0, 0.4, "slow")
+        quick, slow = self.loads.get("quick", NOW), self.loads.get("slow", NOW)
+        self.assertGreater(slow.call_time, 2 * quick.call_time)
+
+
 class TestCacheScout(unittest.TestCase):
     def setUp(self):
         self.state = make_state()
