--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -25,7 +25,9 @@
     """Return the function that serves clients' requests."""
 
     async def handle(request, reply):
-        if state.stopping:
+        if state.stopping or state.overload.is_out:
+            # A connection stays with its gateway; a new one goes to another, as the
+            # balancer sends none here now.
             reply.close()
         state.enter()
         try:
--- a/packages/valeweir_gateway/src/valeweir_gateway/goals.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/goals.py
@@ -4,6 +4,7 @@
 lets grow is met by the others too.
 """
 
+import math
 import threading
 
 _IN_USE = 5.0
@@ -24,3 +25,9 @@
             for old in [g for g, at in goals.items() if now - at > _IN_USE]:
                 del goals[old]
             return min(goals)
+
+    def get_least(self, now):
+        """Return the least goal in use at any service, infinity for none."""
+        with self._lock:
+            rows = [row for goals in self._seen.values() for row in goals.items()]
+        return min((g for g, at in rows if now - at <= _IN_USE), default=math.inf)
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -17,7 +17,7 @@
 from .members import Member, Members
 from .metrics import GatewayMetrics
 from .patience import Patience
-from .pressure import Overload, Pressure, get_occupancy_level
+from .pressure import Overload, Pressure, get_intake_level, get_occupancy_level
 from .retries import RetryBudget
 from .shares import Shares
 from .slowstart import SlowStart, create_gateway_count
@@ -95,7 +95,10 @@
         known = self.catalog_known and self.directory_known
         if self.catalog is None or not known or self.stopping:
             return False
-        return not self.overload.check(self.get_pressure(), self.clock())
+        now = self.clock()
+        wait = self.intake.estimate_wait()
+        level = get_intake_level(wait, self.goals.get_least(now))
+        return not self.overload.check(max(level, self.get_pressure()), now)
 
     def get_peers_store_age(self, now):
         """Return seconds since any live peer heard from the store, or None."""
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -1,3 +1,4 @@
+import math
 import random
 import unittest
 from types import SimpleNamespace
@@ -342,6 +343,14 @@
         self.assertEqual(goals.note("s", 0.8, 1.0), 0.1)
         self.assertEqual(goals.note("s", 0.8, 9.0), 0.8)
 
+    def test_least_of_all(self):
+        goals = RecentGoals()
+        self.assertEqual(goals.get_least(0.0), math.inf)
+        goals.note("s", 0.1, 0.0)
+        goals.note("t", 0.8, 3.0)
+        self.assertEqual(goals.get_least(4.0), 0.1)
+        self.assertEqual(goals.get_least(7.0), 0.8)
+
     def test_services_apart(self):
         goals = RecentGoals()
         goals.note("s", 0.1, 0.0)
