--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -143,14 +143,14 @@
         self._loop.run_forever()
 
     async def _open(self):
-        """Bind every port; clients come last, when all else is there."""
+        """Bind every port; the balancer's comes last, as who is ready accepts."""
         self._fleet.start(self._loop)
-        for server in (self._views, self._metrics, self._ready, self._clients):
+        for server in (self._views, self._metrics, self._clients, self._ready):
             if server is not None:
                 await server.start()
 
     async def _shut(self):
-        for server in (self._clients, self._ready, self._views, self._metrics):
+        for server in (self._ready, self._clients, self._views, self._metrics):
             if server is not None:
                 server.close()
         self._fleet.close(self._loop)
@@ -223,17 +223,20 @@
     clients.max_connections = cfg.descriptors.most_clients
     ready = create_server(
         cfg.listen.ready,
-        create_plain_handler(_create_ready_handler(state, adapter.ready_path), log),
+        create_plain_handler(
+            _create_ready_handler(state, clients, adapter.ready_path), log
+        ),
     )
     return Gateway(state, adapter, clients, ready)
 
 
-def _create_ready_handler(state, path):
+def _create_ready_handler(state, clients, path):
     def handle(request, reply):
         if request.path != path:
             reply.send(404, [], b"")
             return
-        reply.send(200 if state.is_ready() else 503, [], b"")
+        ready = state.is_ready() and not clients.is_full
+        reply.send(200 if ready else 503, [], b"")
 
     return handle
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/servers.py
@@ -21,10 +21,14 @@
 _ACCEPTS_A_TURN = 16
 # Seconds until accepting is tried again where descriptors have run out.
 _ACCEPT_PAUSE = 0.1
+# And where all connections that may be open are: an eighth of the shortest goal in use.
+_FULL_PAUSE = 0.01
 # Parts of the connections that may be open: from the first on connections end
 # with their answer, from the second on the longest idle are closed.
 _CROWDED_PART = 0.6
 _FULL_PART = 0.8
+# From this part on the balancer should send nobody new: who is ready accepts.
+_ACCEPTING_PART = 0.95
 # Whole requests of one connection that wait for the one before them.
 _MOST_PIPELINED = 8
 # Seconds between looks at idle and half-sent connections.
@@ -343,6 +347,11 @@
         """Forget a connection that has ended."""
         self._connections.discard(conn)
 
+    @property
+    def is_full(self):
+        """Return whether hardly any new connection can be accepted."""
+        return len(self._tasks) > _ACCEPTING_PART * self.max_connections
+
     @property
     def is_crowded(self):
         """Return whether connections should end with their answer."""
@@ -351,23 +360,25 @@
     def _accept_waiting(self):
         for _ in range(_ACCEPTS_A_TURN):
             if len(self._tasks) >= self.max_connections:
-                # They wait in the queue of the host until others have ended.
+                # They wait in the queue of the host until others have ended; the
+                # loop would turn without end while it is told of them.
+                self._pause_accepting(_FULL_PAUSE)
                 return
             try:
                 sock, _ = self._sock.accept()
             except BlockingIOError:
                 return
             except OSError as exc:
-                self._pause_accepting(exc)
+                # The host gives no more descriptors for now.
+                self.note_refusal(f"not-accepted-{exc.errno}")
+                self._pause_accepting(_ACCEPT_PAUSE)
                 return
             self._run(self._take(sock))
 
-    def _pause_accepting(self, exc):
-        """Wait a little where the host gives no more descriptors."""
-        self.note_refusal(f"not-accepted-{exc.errno}")
+    def _pause_accepting(self, seconds):
         self.loop.remove_reader(self._sock)
         self.loop.call_later(
-            _ACCEPT_PAUSE, self.loop.add_reader, self._sock, self._accept_waiting
+            seconds, self.loop.add_reader, self._sock, self._accept_waiting
         )
 
     async def _take(self, sock):
--- a/packages/valeweir_gateway/tests/test_servers.py
+++ b/packages/valeweir_gateway/tests/test_servers.py
@@ -154,6 +154,23 @@
             sock.close()
         self.assertLessEqual(max(most), 5)
 
+    def test_a_full_server_does_not_turn_without_end(self):
+        self.server.max_connections = 1
+        first = self.connect()
+        self.assertTrue(self.wait_for(lambda: len(self.server) == 1))
+        calls = []
+        accept = self.server._accept_waiting
+        self.server._accept_waiting = lambda: (calls.append(1), accept())
+        self.server.loop.call_soon_threadsafe(
+            self.server.loop.add_reader, self.server._sock, self.server._accept_waiting
+        )
+        second = self.connect()
+        time.sleep(0.3)
+        self.assertLess(len(calls), 60)
+        first.close()
+        second.sendall(GET % b"a")
+        self.assertIn(b"/a", read_until(second, b"/a"))
+
 
 class TestStreams(ServerCase):
     async def handle(self, request, reply):
