--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -12,7 +12,7 @@
 from .recording import note_refusal
 from .refusals import Refusal, send_refusal
 from .repeating import UNRUN, be_honest, explain, explain_late, may_repeat
-from .servers import ClientGone
+from .replies import ClientGone
 
 _LEAST_LEFT = 0.02
 _MAX_CONNECTS = 3
--- a/packages/valeweir_gateway/src/valeweir_gateway/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/streams.py
@@ -3,7 +3,7 @@
 from .answers import Data, End
 from .events import EventSplitter, is_later
 from .exchanges import Failure, Fault
-from .servers import ClientGone
+from .replies import ClientGone
 
 # The rest of the time that an event may be held is for the network and for a
 # processor that is busy.
--- a/packages/valeweir_gateway/tests/test_servers.py
+++ b/packages/valeweir_gateway/tests/test_servers.py
@@ -6,7 +6,8 @@
 from types import SimpleNamespace
 
 from valeweir_gateway.intake import Intake
-from valeweir_gateway.servers import ClientGone, create_plain_handler, create_server
+from valeweir_gateway.replies import ClientGone
+from valeweir_gateway.servers import create_plain_handler, create_server
 
 
 class ServerCase(unittest.TestCase):
