--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -141,13 +141,15 @@
         self._note_plan(plan)
         own = self._make_own(now)
         children = self._get_reports(plan.group, Role.UP, now)
-        group = own.copy()
+        remote = Totals()
         for report in children.values():
-            group.add_report(report)
-        everything = group.copy()
+            remote.add_report(report)
+        # Sums over the group and over all are for relays' links only.
+        group = remote.joined(own) if plan.is_relay else own
         for report in self._get_sources(plan, now):
-            everything.add_report(report)
-        self._apply(everything, own, now)
+            remote.add_report(report)
+        self._apply(remote, own.gateways + remote.gateways, now)
+        everything = remote.joined(own) if children else own
         self._links.update(plan)
         self._links.add_reads(state.reads.take())
         for link in self._links:
@@ -192,10 +194,9 @@
             return ()
         return self._get_reports([plan.relay], Role.DOWN, now).values()
 
-    def _apply(self, everything, own, now):
+    def _apply(self, remote, gateways, now):
         state = self._state
-        remote = everything.without(own)
-        state.retries.gateways = self._count_gateways(everything.gateways, now)
+        state.retries.gateways = self._count_gateways(gateways, now)
         state.shares.set_remote(remote.usage)
         loads = {}
         for digest, row in remote.loads.items():
--- a/packages/valeweir_gateway/src/valeweir_gateway/sums.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/sums.py
@@ -3,6 +3,10 @@
 
 def add_rows(total, rows):
     """Add pairs to a table in place."""
+    if not total:
+        # Most gateways hear from one relay only.
+        total.update(rows)
+        return
     for key, (first, second) in rows.items():
         old_first, old_second = total.get(key, (0, 0))
         total[key] = (old_first + first, old_second + second)
@@ -41,12 +45,11 @@
         """Add the figures of a report."""
         self.add(report.loads, report.usage, report.gateways)
 
-    def copy(self):
-        """Return totals that change apart from these."""
+    def joined(self, part):
+        """Return new totals with what other totals hold besides."""
         other = Totals()
-        other.loads = dict(self.loads)
-        other.usage = dict(self.usage)
-        other.gateways = self.gateways
+        for totals in (self, part):
+            other.add(totals.loads, totals.usage, totals.gateways)
         return other
 
     def without(self, part):
