--- a/packages/valeweir_gateway/src/valeweir_gateway/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/streams.py
@@ -5,9 +5,9 @@
 from .exchanges import Failure, Fault
 from .replies import ClientGone
 
-# Part of the time that an event may be held. The rest is for the network and for a
-# processor that is busy; the lag seen is taken off besides, as it comes on top.
-_RESTING_PART = 0.5
+# The rest of the time that an event may be held is for the network and for a
+# processor that is busy.
+_RESTING_PART = 0.3
 
 
 async def forward_stream(state, job, exchange, head, work):
@@ -19,7 +19,7 @@
     most of the processor time goes into wake-ups and calls, not into bytes.
     """
     splitter = EventSplitter()
-    longest = state.cfg.streams.max_delay_ms / 1000.0 * _RESTING_PART
+    rest = state.cfg.streams.max_delay_ms / 1000.0 * _RESTING_PART
     while True:
         item = await exchange.read()
         if isinstance(item, Failure):
@@ -35,7 +35,7 @@
         if failure is not None:
             return failure
         if blocks and not exchange.is_over:
-            await state.pause(max(0.0, longest - state.pressure.lag))
+            await state.pause(rest)
 
 
 async def _pass_on(job, head, blocks):
