--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -22,7 +22,7 @@
 _RETURNED_PART = 0.03
 # Part of the goal that even such a request may wait to be looked at. Without a bound a
 # gateway that many come back to reads them 3 s late, and all others behind them.
-_LONGEST_INTAKE_PART = 0.5
+_LONGEST_INTAKE_PART = 0.25
 # Its wait limit against the usual; near the greatest that a share gives.
 _RETURNED_FACTOR = 1.3
 # The most of a request's time that its client may be told to wait.
--- a/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
@@ -8,10 +8,12 @@
 
 # Part of the mean that a new figure makes up.
 _MEMORY = 0.2
-# Lags in seconds. One long stop, of the host or of a collection, is no queue.
+# Lags in seconds. One long stop, of the host or of a collection, is no queue. A request
+# takes some five turns of the loop to its upstream: at the second limit half a second
+# and most of its goal.
 _LONGEST_COUNTED = 0.24
-_HIGH = 0.08
-_SEVERE = 0.16
+_HIGH = 0.05
+_SEVERE = 0.1
 # A level ends below this part of the lag that began it.
 _RELIEVED_PART = 0.6
 # Parts of the requests that may be under way.
