--- a/packages/valeweir_gateway/src/valeweir_gateway/patience.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/patience.py
@@ -2,7 +2,8 @@
 
 A client says with each try how long it will still wait. Its first try says the most, so
 what a try says less than the most of late has been spent on tries before it. The
-route's own timeout tells nothing of that: it may be shorter or longer.
+route's own timeout tells nothing of that: it may be shorter or longer. Where clients of
+one route differ, the less patient ones count as having come back.
 """
 
 # Seconds for which what clients said counts, at least; twice that at most.
