--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -1,7 +1,7 @@
 """Whether a model request goes out now or is told when to come back."""
 
 from .pressure import Level, get_intake_level
-from .refusals import Refusal
+from .refusals import Refusal, limit_retry
 from .shares import UNLIMITED, compute_pass_rate, describe_standing
 
 # Parts of the goal: for the whole wait, and for what is ahead of a long prompt.
@@ -25,8 +25,6 @@
 _LONGEST_INTAKE_PART = 0.25
 # Its wait limit against the usual; near the greatest that a share gives.
 _RETURNED_FACTOR = 1.3
-# The most of a request's time that its client may be told to wait.
-_RETRY_PART = 1 / 3
 
 
 def decide_by_share(state, job, now):
@@ -62,9 +60,7 @@
     limit = max(_GOAL_PART * allowed, choice.alone + _AHEAD_PART * allowed)
     if choice.wait <= limit:
         return None
-    left = job.deadline - now
-    retry_after = max(_LEAST_RETRY, choice.wait - limit / 2)
-    retry_after = min(retry_after, left * _RETRY_PART)
+    retry_after = limit_retry(job, max(_LEAST_RETRY, choice.wait - limit / 2), now)
     inputs = describe(state, choice, standing, limit, now)
     return Refusal(503, "engines-busy", retry_after=retry_after, inputs=inputs)
 
@@ -84,7 +80,7 @@
     if choice.wait <= limit:
         return None
     retry_after = max(_LEAST_CALL_RETRY, choice.wait - job.route.goal / 2)
-    retry_after = min(retry_after, (job.deadline - now) * _RETRY_PART)
+    retry_after = limit_retry(job, retry_after, now)
     inputs = {
         "upstream": choice.instance.id,
         "expected_ms": round(choice.wait * 1000),
@@ -113,7 +109,7 @@
         "crowding": round(crowding, 2),
         **describe_standing(standing, get_oldest_report(state, now)),
     }
-    retry_after = min(_BEYOND_RETRY, (job.deadline - now) * _RETRY_PART)
+    retry_after = limit_retry(job, _BEYOND_RETRY, now)
     return Refusal(503, "beyond-share", retry_after=retry_after, inputs=inputs)
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
@@ -1,10 +1,9 @@
 """Which instances may get a request, before the best of them is chosen."""
 
-from .refusals import Refusal
+from .refusals import Refusal, limit_retry
 from .repeating import BUSY_RETRY
 
-# The most of a request's time that its client may be told to wait.
-_RETRY_PART = 1 / 3
+# Seconds, so that a client does not come back a moment too soon.
 _LEAST_RETRY = 0.05
 
 
@@ -106,7 +105,6 @@
 def _refuse_warming(state, job, rows, now):
     """Return the `Refusal` where all that could serve are warming up."""
     ends = [state.slow_start.get_end(row.id) for row in rows]
-    retry_after = max(_LEAST_RETRY, min(ends) - now)
-    retry_after = min(retry_after, (job.deadline - now) * _RETRY_PART)
+    retry_after = limit_retry(job, max(_LEAST_RETRY, min(ends) - now), now)
     inputs = {"warming": len(rows)}
     return Refusal(503, "upstreams-warming", retry_after=retry_after, inputs=inputs)
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -10,6 +10,7 @@
 import threading
 
 from .reports import get_digest
+from .work import FIRST_PAUSE, InstanceLoad, Work
 
 _FIRST_RATE = 30_000.0
 _LEAST_RATE = 2_000.0
@@ -27,65 +28,9 @@
 _MAX_READS = 200
 _SILENCE = 1.0
 _ERRORS_TO_EJECT = 2
-_FIRST_PAUSE = 0.7
 _LONGEST_PAUSE = 8.0
 
 
-class InstanceLoad:
-    """Work of one instance. Tokens are prompt tokens not read yet."""
-
-    __slots__ = (
-        "active",
-        "call_time",
-        "errors",
-        "heard",
-        "pause",
-        "probing",
-        "remote_active",
-        "remote_unread",
-        "slowness",
-        "unread",
-        "until",
-    )
-
-    def __init__(self, now):
-        self.unread = 0
-        self.remote_unread = 0
-        self.active = 0
-        self.remote_active = 0
-        self.heard = now
-        self.errors = 0
-        self.pause = _FIRST_PAUSE
-        self.until = 0.0
-        self.probing = False
-        self.slowness = 1.0
-        # Seconds that a plain call takes here with a place of its own.
-        self.call_time = None
-
-
-class Work:
-    """One request at an instance, from its send to its end."""
-
-    __slots__ = (
-        "ahead",
-        "first",
-        "instance_id",
-        "is_read",
-        "running",
-        "sent",
-        "tokens",
-    )
-
-    def __init__(self, instance_id, tokens, ahead, running, sent):
-        self.instance_id = instance_id
-        self.tokens = tokens
-        self.ahead = ahead
-        self.running = running
-        self.sent = sent
-        self.first = None
-        self.is_read = False
-
-
 class Loads:
     """Work and condition of every instance, and where prompt parts were read.
 
@@ -229,7 +174,7 @@
         load.until = 0.0
         load.probing = False
         if ended:
-            load.pause = _FIRST_PAUSE
+            load.pause = FIRST_PAUSE
         return ended
 
     def note_error(self, instance_id, now, severe=False):
--- a/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
@@ -5,6 +5,10 @@
 from valeweir.models import OUTCOME_HEADER, Outcome
 
 
+# The most of a request's time that its client may be told to wait; clients take no more.
+_RETRY_PART = 1 / 3
+
+
 class Refusal(NamedTuple):
     """An answer of our own.
 
@@ -19,6 +23,11 @@
     inputs: dict | None = None
 
 
+def limit_retry(job, seconds, now):
+    """Return a time to come back that leaves the client time to be served."""
+    return min(seconds, (job.deadline - now) * _RETRY_PART)
+
+
 def send_refusal(reply, refusal, request_id, id_header):
     """Answer with a refusal."""
     headers = [(OUTCOME_HEADER, refusal.outcome.value)]
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/work.py
@@ -0,0 +1,59 @@
+"""Work of one instance, and one request's part of it."""
+
+# Seconds for which an instance is set aside first; each next time is twice as long.
+FIRST_PAUSE = 0.7
+
+
+class InstanceLoad:
+    """Work of one instance. Tokens are prompt tokens not read yet."""
+
+    __slots__ = (
+        "active",
+        "call_time",
+        "errors",
+        "heard",
+        "pause",
+        "probing",
+        "remote_active",
+        "remote_unread",
+        "slowness",
+        "unread",
+        "until",
+    )
+
+    def __init__(self, now):
+        self.unread = 0
+        self.remote_unread = 0
+        self.active = 0
+        self.remote_active = 0
+        self.heard = now
+        self.errors = 0
+        self.pause = FIRST_PAUSE
+        self.until = 0.0
+        self.probing = False
+        self.slowness = 1.0
+        # Seconds that a plain call takes here with a place of its own.
+        self.call_time = None
+
+
+class Work:
+    """One request at an instance, from its send to its end."""
+
+    __slots__ = (
+        "ahead",
+        "first",
+        "instance_id",
+        "is_read",
+        "running",
+        "sent",
+        "tokens",
+    )
+
+    def __init__(self, instance_id, tokens, ahead, running, sent):
+        self.instance_id = instance_id
+        self.tokens = tokens
+        self.ahead = ahead
+        self.running = running
+        self.sent = sent
+        self.first = None
+        self.is_read = False
