--- a/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
@@ -4,8 +4,7 @@
 
 from valeweir.models import OUTCOME_HEADER, Outcome
 
-
-# The most of a request's time that its client may be told to wait; clients take no more.
+# The most of a request's time that its client may be told to wait.
 _RETRY_PART = 1 / 3
 
 
