--- a/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
@@ -82,14 +82,15 @@
 
 def _keep_warm(state, job, rows, now):
     """Leave out warming instances for which this gateway has no permit."""
-    if not state.slow_start:
-        return rows
-    may_send = state.slow_start.may_send
+    slow_start = state.slow_start
     rate = _get_rate(job)
+    if not slow_start or rate <= 0.0:
+        return rows
     return [
         row
         for row in rows
-        if not _needs_permit(state, job, row, now) or may_send(row.id, rate, now)
+        if not slow_start.is_warming(row.id, now)
+        or slow_start.may_send(row.id, rate, now)
     ]
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/slowstart.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/slowstart.py
@@ -14,7 +14,6 @@
 
 import functools
 import math
-from typing import NamedTuple
 
 # Chance that one second's permits go beyond the bound.
 _CHANCE = 1e-6
@@ -26,13 +25,6 @@
 _SETTLE = 2.0
 
 
-class WarmUp(NamedTuple):
-    """Belief about one instance; ``until`` on the steady clock, ``source`` for logs."""
-
-    until: float
-    source: str
-
-
 class SlowStart:
     """Which instances warm up, and when this gateway may send to each.
 
@@ -48,18 +40,17 @@
         self._rng = rng
         self._count_gateways = count_gateways
         self._bound = bound
+        # Until when each warms up, on the steady clock.
         self._warming = {}
         self._drawn = {}
 
     def __len__(self):
         return len(self._warming)
 
-    def note(self, instance_id, until, source, now):
+    def note(self, instance_id, until, now):
         """Note that an instance warms up; return whether that is news."""
         fresh = not self.is_warming(instance_id, now)
-        known = self._warming.get(instance_id)
-        if known is None or until > known.until:
-            self._warming[instance_id] = WarmUp(until, source)
+        self._warming[instance_id] = max(until, self.get_end(instance_id))
         return fresh
 
     def forget(self, instance_id):
@@ -73,12 +64,11 @@
 
     def get_end(self, instance_id):
         """Return when the instance is warm (steady clock), 0 where it always was."""
-        known = self._warming.get(instance_id)
-        return 0.0 if known is None else known.until
+        return self._warming.get(instance_id, 0.0)
 
     def take_ended(self, now):
         """Return and forget the ids of instances whose time of warming up is over."""
-        ended = [name for name, row in self._warming.items() if now >= row.until]
+        ended = [name for name, until in self._warming.items() if now >= until]
         for name in ended:
             self.forget(name)
         return ended
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -78,7 +78,7 @@
         state = self._state
         if seconds <= 0.0:
             return
-        if state.slow_start.note(instance.id, now + seconds, source, now):
+        if state.slow_start.note(instance.id, now + seconds, now):
             state.metrics.warm_ups.labels(source).inc()
             state.log.note(
                 "upstream warming",
