--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -7,7 +7,7 @@
 from .checking import ANSWER_MARGIN
 from .connections import LONGEST_IDLE, connect
 from .exchanges import Call, Exchange, Failure, Fault, prepare_headers
-from .recording import note_failure, note_result
+from .recording import note_failure, note_result, note_sending
 from .repeating import MISDIRECTED
 
 _FRESH_WITHIN = 1.0
@@ -36,6 +36,7 @@
         job.first_sent = now
         _note_begun(state, job, now)
     job.sends += 1
+    note_sending(state, job, instance.id, now)
     work = state.loads.start(instance.id, choice.tokens, now)
     if job.prompt is not None:
         _note_reads(state, job, choice, now)
@@ -83,6 +84,7 @@
     failure = await exchange.send(_prepare_call(state, job, choice))
     if failure is not None:
         return failure
+    job.out_at = state.clock()
     head = await exchange.read(_get_attempt_end(state, job))
     if isinstance(head, Failure):
         return head
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/beliefs.py
@@ -0,0 +1,47 @@
+"""Where this gateway's view of the store comes from, for the lines of its log."""
+
+from typing import NamedTuple
+
+STORE = "store"
+
+
+class Taken(NamedTuple):
+    """What was last taken into the view of a topic.
+
+    ``begin`` and ``end`` are how far the view reached before and after, as offsets;
+    ``source`` is `STORE` or the host of a peer. ``is_listing`` tells a listing of
+    what exists from records that changed. ``at`` is on the steady clock.
+    """
+
+    begin: int
+    end: int
+    source: str
+    is_listing: bool
+    at: float
+
+
+def describe_view(state, now):
+    """Return the fields that tell how old the view of the instances is, and why."""
+    age = state.get_store_age(now)
+    fields = {
+        "view_offset": state.directory_offset,
+        "view_age_s": round(age, 3) if age >= 0.0 else None,
+        "reads_store": state.reads_store,
+    }
+    taken = state.taken.get(state.instance_topic)
+    if taken is not None:
+        fields["view_from"] = taken.source
+        fields["view_listed"] = taken.is_listing
+        fields["view_taken_s"] = round(now - taken.at, 3)
+    return fields
+
+
+def describe_upstream(state, instance_id, now):
+    """Return the fields that tell since when an upstream is believed to be ready."""
+    noted = state.directory.get_noted(instance_id)
+    if noted is None:
+        return {"upstream_offset": None}
+    return {
+        "upstream_offset": noted.offset,
+        "upstream_known_s": round(now - noted.at, 3),
+    }
--- a/packages/valeweir_gateway/src/valeweir_gateway/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/directory.py
@@ -20,16 +20,25 @@
     warming: float = 0.0
 
 
+class Noted(NamedTuple):
+    """The record that an instance is known by, and when it came (steady clock)."""
+
+    offset: int
+    at: float
+
+
 class Directory:
     """All instances known. Readers use `ready`; one thread writes."""
 
     def __init__(self):
         self.by_id = {}
+        self._noted = {}
         self._ready = {}
         self._by_digest = {}
 
-    def put(self, instance):
-        """Add or replace an instance."""
+    def put(self, instance, noted=None):
+        """Add or replace an instance, ``noted`` by a record."""
+        self._noted[instance.id] = noted
         old = self.by_id.get(instance.id)
         self.by_id[instance.id] = instance
         self._by_digest[get_digest(instance.id)] = instance.id
@@ -39,12 +48,17 @@
 
     def remove(self, instance_id):
         """Forget an instance; return it, or None if it was not known."""
+        self._noted.pop(instance_id, None)
         old = self.by_id.pop(instance_id, None)
         if old is not None:
             self._by_digest.pop(get_digest(instance_id), None)
             self._index(old.service)
         return old
 
+    def get_noted(self, instance_id):
+        """Return by which record an instance is known, or None."""
+        return self._noted.get(instance_id)
+
     def get_id(self, digest):
         """Return the id of the instance that a digest stands for, or None."""
         return self._by_digest.get(digest)
--- a/packages/valeweir_gateway/src/valeweir_gateway/duties.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/duties.py
@@ -31,8 +31,15 @@
         """Return whether this gateway reads the store now."""
         reads = self._decide(self._state.clock())
         if reads != self._reads:
-            self._reads = reads
-            self._state.log.note("store duty", reads=reads)
+            self._reads = self._state.reads_store = reads
+            now = self._state.clock()
+            age = self._state.get_peers_store_age(now)
+            self._state.log.note(
+                "store duty",
+                reads=reads,
+                peers_age_s=None if age is None else round(age, 3),
+                asked_to=now < self._own_until,
+            )
         return reads
 
     def note_behind(self, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -184,6 +184,8 @@
         gauges.catalog_version.set(state.catalog.version if state.catalog else 0)
         gauges.warming.set(len(state.slow_start))
         gauges.evacuated.set(len(state.evacuations.domains))
+        gauges.view_offset.set(state.directory_offset)
+        gauges.view_age.set(state.get_store_age(state.clock()))
         gauges.lag.set(state.pressure.lag)
         gauges.live_peers.set(len(state.members.get_live(state.clock())))
         gauges.instances.set(len(state.directory.by_id))
@@ -267,6 +269,8 @@
     def ignore(*_):
         pass
 
+    state.instance_topic = adapter.instance_topic
+
     def follow(
         topic,
         apply,
@@ -285,6 +289,7 @@
             is_wanted,
             on_heard,
             state.lapses.note_regained,
+            state.note_taken,
         )
 
     return Followers(
--- a/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
@@ -9,6 +9,7 @@
         "allowed",
         "answered",
         "arrived",
+        "belief",
         "catalog",
         "deadline",
         "draw",
@@ -18,6 +19,7 @@
         "id",
         "last_event_id",
         "may_have_run",
+        "out_at",
         "prompt",
         "reply",
         "request",
@@ -45,6 +47,10 @@
         self.excluded = set()
         self.sends = 0
         self.first_sent = None
+        # Of the last send, for the log: what was believed of the view and the upstream,
+        # and when the request's last byte was handed to the connection.
+        self.belief = {}
+        self.out_at = None
         self.answered = 0
         self.last_event_id = None
         self.may_have_run = False
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -53,6 +53,12 @@
         self.wait = self._gauge("intake_wait_seconds", "How long the next one waits")
         self.connections = self._gauge("client_connections", "Connections of clients")
         self.catalog_version = self._gauge("catalog_version", "Version in force")
+        self.view_offset = self._gauge(
+            "view_offset", "How far the view of upstreams reaches in the store's log"
+        )
+        self.view_age = self._gauge(
+            "view_age_seconds", "How old the view may be, -1 where nothing is known"
+        )
         self.lag = self._gauge("processor_lag_seconds", "How late the event loop is")
         self.live_peers = self._gauge("live_peers", "Gateways heard from lately")
         self.instances = self._gauge("upstream_instances", "Upstream instances known")
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -1,5 +1,6 @@
 """What is counted and logged of requests, and learned of upstreams."""
 
+from .beliefs import describe_upstream, describe_view
 from .exchanges import Fault
 from .repeating import MISDIRECTED
 from .shares import describe_standing
@@ -57,9 +58,11 @@
         goal_ms=to_milliseconds(job.route.goal),
         first_sent_ms=_get_first_sent(job),
         first_ms=to_milliseconds(work.first or 0.0),
+        out_ms=_get_out(job),
         sends=job.sends,
         took_ms=to_milliseconds(now - job.arrived),
         **(describe_standing(job.standing) if job.standing else {}),
+        **job.belief,
     )
 
 
@@ -90,9 +93,27 @@
         sends=job.sends,
         ejected_s=pause,
         waited_ms=to_milliseconds(now - job.arrived),
+        out_ms=_get_out(job),
+        **job.belief,
     )
 
 
+def note_sending(state, job, instance_id, now):
+    """Remember what this gateway believes as it sends, for the line at the end."""
+    job.out_at = None
+    job.belief = {
+        **describe_view(state, now),
+        **describe_upstream(state, instance_id, now),
+    }
+
+
+def _get_out(job):
+    """Return the milliseconds until the last byte left, None where none did."""
+    if job.out_at is None:
+        return None
+    return to_milliseconds(job.out_at - job.arrived)
+
+
 def _get_first_sent(job):
     """Return the milliseconds until the first send, None where there was none."""
     if job.first_sent is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -64,6 +64,10 @@
             Member(cfg.host, cfg.domain, cfg.listen.reports, cfg.processor.capacity)
         )
         self._store_heard = {}
+        # For the log: what was last taken into the view, by topic.
+        self.taken = {}
+        self.instance_topic = None
+        self.reads_store = False
         self.usage = UsageWindow(cfg.sharing.window)
         self.shares = Shares(self.usage, cfg.sharing)
         self.connections = Connections(clock)
@@ -123,6 +127,10 @@
         """Note that the store has answered for a topic."""
         self._store_heard[topic] = now
 
+    def note_taken(self, topic, taken):
+        """Note what was taken into the view of a topic."""
+        self.taken[topic] = taken
+
     def enter(self):
         """Count a request as in flight."""
         with self._lock:
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -6,6 +6,8 @@
 
 from valeweir.exceptions import PlatformUnavailable
 
+from .beliefs import STORE, Taken
+
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 1.0
 _IDLE_CHECK = 0.15
@@ -78,6 +80,8 @@
     on_regained : callable
         Called with the time when the store answers after it was away, before
         what it answered is applied.
+    on_taken : callable
+        Called with the topic and the `beliefs.Taken` of each listing or batch.
     """
 
     def __init__(
@@ -92,6 +96,7 @@
         is_wanted=lambda: True,
         on_heard=lambda topic, now: None,
         on_regained=lambda now: None,
+        on_taken=lambda topic, taken: None,
     ):
         self._store = store
         self._topic = topic
@@ -112,6 +117,7 @@
         self.heard = None
         self._on_heard = on_heard
         self._on_regained = on_regained
+        self._on_taken = on_taken
 
     def run(self, stopped):
         """Follow until ``stopped`` is set; the body of a thread."""
@@ -175,22 +181,22 @@
             rows = [e for e in self._entries.values() if e.offset >= offset]
             return Batch(sorted(rows, key=lambda row: row.offset), self.end)
 
-    def adopt(self, listing):
+    def adopt(self, listing, source="peer"):
         """Take in a peer's listing; older records than ours change nothing."""
         with self._lock:
-            self._take_listing(listing)
+            self._take_listing(listing, source)
 
-    def adopt_batch(self, batch):
+    def adopt_batch(self, batch, source="peer"):
         """Take in what a peer says has changed since our end."""
         with self._lock:
-            self._take_batch(batch)
+            self._take_batch(batch, source)
 
     def _list(self):
         asked = self._clock()
         listing = self._store.list_newest(self._topic)
         self._note_answer(asked, 0.0)
         with self._lock:
-            self._take_listing(listing)
+            self._take_listing(listing, STORE)
             self._next = listing.end
         self._note_heard()
 
@@ -204,7 +210,7 @@
         if self.is_away or now - asked > wait + _LATE_ANSWER:
             self._on_regained(now)
 
-    def _take_listing(self, listing):
+    def _take_listing(self, listing, source):
         named = {entry.key for entry in listing.entries}
         for entry in listing.entries:
             self._take(entry)
@@ -212,8 +218,7 @@
         for key in kept - named:
             # The key was dropped while nothing was heard.
             self._take(Entry(key, None, listing.end - 1))
-        self.end = max(self.end, listing.end)
-        self._on_listed(self.end)
+        self._move_end(listing.end, source, is_listing=True)
 
     def _read(self):
         # What a peer has told meanwhile need not be read again.
@@ -227,14 +232,19 @@
             raise
         self._note_answer(asked, wait)
         with self._lock:
-            self._take_batch(batch)
+            self._take_batch(batch, STORE)
             self._next = batch.end
         self._note_heard()
 
-    def _take_batch(self, batch):
+    def _take_batch(self, batch, source):
         for entry in batch.entries:
             self._take(entry)
-        self.end = max(self.end, batch.end)
+        self._move_end(batch.end, source, is_listing=False)
+
+    def _move_end(self, end, source, is_listing):
+        begin, self.end = self.end, max(self.end, end)
+        taken = Taken(begin, self.end, source, is_listing, self._clock())
+        self._on_taken(self._topic, taken)
         self._on_listed(self.end)
 
     def _take(self, entry):
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -66,13 +66,13 @@
         return None
 
 
-def adopt_view(follower, view):
-    """Let a follower take in a `TopicView`."""
+def adopt_view(follower, view, source="peer"):
+    """Let a follower take in a `TopicView` that a peer, ``source``, has given."""
     entries = [Entry(*row) for row in view.entries]
     if view.is_whole:
-        follower.adopt(Listing(entries, view.end))
+        follower.adopt(Listing(entries, view.end), source)
     else:
-        follower.adopt_batch(Batch(entries, view.end))
+        follower.adopt_batch(Batch(entries, view.end), source)
 
 
 class ViewSync:
@@ -126,16 +126,16 @@
         view = decode_view(resp.data) if resp.status == 200 else None
         if view is None:
             return False
-        self.adopt(view)
+        self.adopt(view, peer.host)
         return True
 
-    def adopt(self, view):
-        """Take a peer's `View` in."""
+    def adopt(self, view, source="peer"):
+        """Take the `View` of the peer ``source`` in."""
         if view.regained_age >= 0.0:
             now = self._state.clock()
             self._state.lapses.note_regained(now - view.regained_age)
-        adopt_view(self._catalog, view.catalog)
-        adopt_view(self._instances, view.instances)
+        adopt_view(self._catalog, view.catalog, source)
+        adopt_view(self._instances, view.instances, source)
 
     def _run(self, stopped):
         interval = _CHECK
@@ -171,8 +171,20 @@
         patience = _PATIENCE if self._duty.reads_store() else 0.0
         if behind < patience:
             return None
+        before = self._get_ends()
         taken = self.fetch(peer)
         self._state.log.note(
-            "view from peer", failed=not taken, peer=peer.host, taken=taken
+            "view from peer",
+            failed=not taken,
+            peer=peer.host,
+            taken=taken,
+            behind_s=round(behind, 3),
+            offsets_before=before,
+            offsets=self._get_ends(),
+            peer_offsets=(peer.report.catalog_offset, peer.report.directory_offset),
+            report_age_s=round(now - peer.heard, 3),
         )
         return taken
+
+    def _get_ends(self):
+        return (self._catalog.end, self._instances.end)
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -3,6 +3,7 @@
 import threading
 
 from .adapters import BadRecord
+from .directory import Noted
 from .members import Member
 
 
@@ -146,7 +147,7 @@
             self._note_warming(instance, instance.warming, "record", now)
         elif state.slow_start.forget(instance.id):
             state.log.note("upstream warm", upstream=instance.id, offset=entry.offset)
-        state.directory.put(instance)
+        state.directory.put(instance, Noted(entry.offset, now))
         if held or old is None or old.ready != instance.ready:
             state.log.note(
                 "upstream ready" if instance.ready else "upstream leaving",
--- a/packages/valeweir_standins/src/valeweir_standins/wires.py
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -77,6 +77,7 @@
         directory_offset=0,
         catalog_offset=0,
         get_store_age=lambda now: 0.0,
+        get_peers_store_age=lambda now: 0.0,
         loads=Loads(),
         log=SimpleNamespace(note=lambda *args, **fields: None),
         members=Members(member),
