--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -63,6 +63,7 @@
         while True:
             await asyncio.sleep(interval)
             now = self._state.clock()
+            self._state.stalls.tick()
             self._state.pressure.note(now - due)
             self._guard(self.tick, now)
             interval = max(_TICK, _TICK_PER_LINK * len(self._links))
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -290,6 +290,7 @@
             on_heard,
             state.lapses.note_regained,
             state.note_taken,
+            state.stalls.get_total,
         )
 
     return Followers(
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -21,6 +21,7 @@
 from .retries import RetryBudget
 from .shares import Shares
 from .slowstart import SlowStart, create_gateway_count
+from .stalls import Stalls
 from .usage import UsageWindow
 
 
@@ -59,6 +60,7 @@
         self.patience = Patience()
         self.pressure = Pressure(log)
         self.overload = Overload(log)
+        self.stalls = Stalls(clock, log.note)
         self.domains = Domains(cfg.domain)
         self.members = Members(
             Member(cfg.host, cfg.domain, cfg.listen.reports, cfg.processor.capacity)
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -48,6 +48,18 @@
     end: int
 
 
+class Asked(NamedTuple):
+    """A call under way.
+
+    ``at`` is on the steady clock, ``wait`` how long the store may keep it, in
+    seconds, and ``stalled`` for how long this process had stood still until then.
+    """
+
+    at: float
+    wait: float
+    stalled: float
+
+
 class Store(Protocol):
     """Calls of the store; each raises `PlatformUnavailable` where it fails."""
 
@@ -80,6 +92,8 @@
     on_regained : callable
         Called with the time when the store answers after it was away, before
         what it answered is applied.
+    get_stalled : callable
+        Returns for how many seconds this process has stood still so far.
     on_taken : callable
         Called with the topic and the `beliefs.Taken` of each listing or batch.
     """
@@ -97,6 +111,7 @@
         on_heard=lambda topic, now: None,
         on_regained=lambda now: None,
         on_taken=lambda topic, taken: None,
+        get_stalled=lambda: 0.0,
     ):
         self._store = store
         self._topic = topic
@@ -118,6 +133,7 @@
         self._on_heard = on_heard
         self._on_regained = on_regained
         self._on_taken = on_taken
+        self._get_stalled = get_stalled
 
     def run(self, stopped):
         """Follow until ``stopped`` is set; the body of a thread."""
@@ -192,9 +208,9 @@
             self._take_batch(batch, source)
 
     def _list(self):
-        asked = self._clock()
+        asked = self._note_asked(0.0)
         listing = self._store.list_newest(self._topic)
-        self._note_answer(asked, 0.0)
+        self._note_answer(asked)
         with self._lock:
             self._take_listing(listing, STORE)
             self._next = listing.end
@@ -204,10 +220,21 @@
         self.heard = self._clock()
         self._on_heard(self._topic, self.heard)
 
-    def _note_answer(self, asked, wait):
+    def _note_asked(self, wait):
+        return Asked(self._clock(), wait, self._get_stalled())
+
+    def _note_answer(self, asked):
         """Tell where this answer ends a time in which the store was away."""
         now = self._clock()
-        if self.is_away or now - asked > wait + _LATE_ANSWER:
+        late = now - asked.at - asked.wait
+        if late > _LATE_ANSWER:
+            self._log.note(
+                "store answered late",
+                topic=self._topic,
+                late_s=round(late, 3),
+                stalled_s=round(self._get_stalled() - asked.stalled, 3),
+            )
+        if self.is_away or late > _LATE_ANSWER:
             self._on_regained(now)
 
     def _take_listing(self, listing, source):
@@ -223,14 +250,13 @@
     def _read(self):
         # What a peer has told meanwhile need not be read again.
         start = self._next = max(self._next, self.end)
-        asked = self._clock()
-        wait = self._poll()
+        asked = self._note_asked(self._poll())
         try:
-            batch = self._store.read(self._topic, start, wait)
+            batch = self._store.read(self._topic, start, asked.wait)
         except HistoryExpired:
-            self._note_answer(asked, wait)
+            self._note_answer(asked)
             raise
-        self._note_answer(asked, wait)
+        self._note_answer(asked)
         with self._lock:
             self._take_batch(batch, STORE)
             self._next = batch.end
