--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_leaving.py
@@ -0,0 +1,403 @@
+"""Upstreams that leave must soon get no new work, at every gateway of a fleet.
+
+A gateway that had joined during the day still sent requests to an upstream seconds
+after its leaving had been acknowledged. In a large fleet most gateways take their view
+of the store from peers, and what a peer says of its view was believed for more than it
+rests on: an end without the removals before it, an age without the time on the way, an
+outage that was the peer's own lateness. Each class below brings one of them about with
+the gateway's own parts, on a clock of its own; the first left an upstream in use for
+good, and plays of it with three gateways proved it.
+"""
+
+import json
+import random
+import unittest
+from types import SimpleNamespace
+
+from valeweir_gateway.directory import Instance
+from valeweir_gateway.duties import StoreDuty
+from valeweir_gateway.members import Member
+from valeweir_gateway.settings import GatewaySettings, Listen, Store, Upstreams
+from valeweir_gateway.states import GatewayState
+from valeweir_gateway.stores import Batch, Entry, HistoryExpired, Listing, TopicFollower
+from valeweir_gateway.syncing import (
+    ViewSync,
+    adopt_view,
+    decode_view,
+    encode_view,
+    make_topic_view,
+)
+from valeweir_gateway.views import ViewKeeper
+from valeweir_standins.wires import Wire
+
+LEAVE_WITHIN = 3.0
+
+
+class Clock:
+    def __init__(self):
+        self.now = 100.0
+
+    def __call__(self):
+        return self.now
+
+
+class SilentLog:
+    def note(self, event, failed=False, **fields):
+        pass
+
+
+class RecordLog:
+    """A keyed topic of the store: records, and which of them are still there."""
+
+    def __init__(self):
+        self.entries = []
+        self.first = 0
+
+    @property
+    def end(self):
+        return len(self.entries)
+
+    def write(self, key, value):
+        self.entries.append(Entry(key, value, self.end))
+
+    def get_newest(self, end=None):
+        newest = {entry.key: entry for entry in self.entries[:end]}
+        return [entry for entry in newest.values() if entry.value is not None]
+
+    def list_newest(self, topic):
+        return Listing(self.get_newest(), self.end)
+
+    def read(self, topic, offset, wait):
+        if offset < self.first:
+            raise HistoryExpired(topic)
+        return Batch(self.entries[offset:], self.end)
+
+
+def make_state(member, clock):
+    host = member.address.rpartition(":")[0]
+    listen = Listen(f"{host}:1", f"{host}:2", f"{host}:3", member.address)
+    cfg = GatewaySettings(
+        member.host,
+        member.domain,
+        listen,
+        Store("10.9.9.9:1"),
+        upstreams=Upstreams(leave_within_ms=LEAVE_WITHIN * 1000.0),
+    )
+    return GatewayState(cfg, SilentLog(), clock=clock)
+
+
+def decode_instance(key, value):
+    return Instance(key, "llm", "10.0.0.5:1", "a", 8, json.loads(value)["ready"])
+
+
+ADAPTER = SimpleNamespace(
+    decode_instance=decode_instance,
+    catalog_key="config",
+    find_evacuated=lambda key: key,
+)
+READY = b'{"ready": true}'
+LEAVING = b'{"ready": false}'
+
+
+class View:
+    """One gateway's view of a topic: its follower, and what it makes of records."""
+
+    def __init__(self, store, clock, host="h"):
+        self.clock = clock
+        self.state = make_state(Member(host, "a", "10.0.0.1:4"), clock)
+        self.keeper = ViewKeeper(self.state, ADAPTER)
+        self.instances = self._follow(store, self.keeper.apply_instance)
+        self.catalog = self._follow(store, self.keeper.apply_catalog)
+
+    def _follow(self, store, apply):
+        return TopicFollower(
+            store,
+            "t",
+            apply,
+            lambda end: None,
+            self.state.log,
+            lambda: 1.0,
+            self.clock,
+            on_regained=self.state.lapses.note_regained,
+            get_stalled=self.state.stalls.get_total,
+        )
+
+    def read(self):
+        """Read the store until nothing is left to read."""
+        for follower in (self.instances, self.catalog):
+            follower.follow_once()
+            follower.follow_once()
+
+    def give(self, peer):
+        """Return the bytes that tell a peer what it does not know yet."""
+        return encode_view(
+            make_topic_view(self.catalog, peer.catalog.end),
+            make_topic_view(self.instances, peer.instances.end),
+        )
+
+    def take(self, data):
+        view = decode_view(data)
+        adopt_view(self.catalog, view.catalog)
+        adopt_view(self.instances, view.instances)
+
+    def get_ready(self):
+        return {row.id for row in self.state.directory.get_all_ready()}
+
+
+class TestRemovalsBetweenGateways(unittest.TestCase):
+    """Whoever has a view up to an end knows of every removal before it."""
+
+    def setUp(self):
+        self.store = RecordLog()
+        self.clock = Clock()
+
+    def make_view(self):
+        return View(self.store, self.clock)
+
+    def leave(self, name="x"):
+        self.store.write(name, LEAVING)
+        self.store.write(name, None)
+
+    def start_with_x(self):
+        self.store.write("x", READY)
+        self.store.write("y", READY)
+        view = self.make_view()
+        view.read()
+        return view
+
+    def play_a_peer_that_has_just_listed(self):
+        """It lists while another has not yet read that x has gone."""
+        behind = self.start_with_x()
+        self.leave()
+        started = self.make_view()
+        started.read()
+        behind.take(started.give(behind))
+        return behind
+
+    def play_a_peer_whose_history_expired(self):
+        """It reads on from before x came, and lists, as x has come and gone."""
+        listed_anew = self.make_view()
+        listed_anew.read()
+        behind = self.start_with_x()
+        self.leave()
+        self.store.first = self.store.end
+        listed_anew.read()
+        behind.take(listed_anew.give(behind))
+        return behind
+
+    def play_a_peer_told_by_one_that_listed(self):
+        behind = self.start_with_x()
+        self.leave()
+        started = self.make_view()
+        started.read()
+        told = self.make_view()
+        told.take(started.give(told))
+        behind.take(told.give(behind))
+        return behind
+
+    def play_a_view_that_arrives_late(self):
+        """Given before x left; its receiver has meanwhile listed for itself."""
+        peer = self.start_with_x()
+        joining = self.make_view()
+        data = peer.give(joining)
+        self.leave()
+        joining.read()
+        joining.take(data)
+        return joining
+
+    def play_at_random(self, seed):
+        """Six gateways read, list, tell each other and start again in any order."""
+        rng = random.Random(seed)
+        views = [self.make_view() for _ in range(6)]
+        under_way = []
+        self.store.write("y", READY)
+        for _ in range(150):
+            place = rng.randrange(len(views))
+            action = rng.random()
+            if action < 0.3:
+                name = rng.choice("xyz")
+                self.store.write(name, rng.choice((READY, LEAVING, None)))
+            elif action < 0.5:
+                views[place].read()
+            elif action < 0.7:
+                peer = rng.choice(views)
+                under_way.append((peer.give(views[place]), views[place]))
+            elif action < 0.9 and under_way:
+                data, target = under_way.pop(rng.randrange(len(under_way)))
+                target.take(data)
+            elif action < 0.95:
+                views[place] = self.make_view()
+            else:
+                self.store.first = rng.randint(self.store.first, self.store.end)
+            for view in views:
+                self.check(view)
+        return views[0]
+
+    def check(self, view):
+        ended = view.instances.end
+        written = {e.key for e in self.store.get_newest(ended) if e.value == READY}
+        self.assertEqual(view.get_ready(), written, f"with a view up to {ended}")
+        asked = {entry.key for entry in self.store.get_newest(view.catalog.end)}
+        self.assertEqual(view.state.evacuations.domains, asked)
+
+    def test_a_view_up_to_an_end_holds_every_removal_before_it(self):
+        plays = {
+            "a peer has just listed": self.play_a_peer_that_has_just_listed,
+            "a peer's history expired": self.play_a_peer_whose_history_expired,
+            "told by one that listed": self.play_a_peer_told_by_one_that_listed,
+            "an old view arrives late": self.play_a_view_that_arrives_late,
+        }
+        for seed in range(1, 41):
+            plays[f"at random, seed {seed}"] = lambda seed=seed: self.play_at_random(
+                seed
+            )
+        for name, play in plays.items():
+            with self.subTest(name):
+                self.setUp()
+                self.check(play())
+
+
+class TestAgeOfTheView(unittest.TestCase):
+    """Gateways that do not read the store notice in time that nobody hears from it."""
+
+    def setUp(self):
+        self.wire = Wire(3, 70, make_state)
+        self.wire.introduce()
+        self.duties = {}
+        for fleet in self.wire.fleets.values():
+            state = fleet._state
+            state.members_known = True
+            self.duties[state.cfg.host] = StoreDuty(
+                state, lambda fleet=fleet: fleet.plan
+            )
+        self.answered = 0.0
+
+    def run_fleet(self, seconds, store_answers):
+        """Let the fleet run; return when each gateway first read for itself."""
+        first = {}
+        until = self.wire.now + seconds
+        while self.wire.now < until:
+            self.wire.run(0.1)
+            for host, duty in self.duties.items():
+                if not duty.reads_store():
+                    continue
+                first.setdefault(host, self.wire.now)
+                if store_answers:
+                    self.note_answer(self.wire.states[host])
+        return first
+
+    def note_answer(self, state):
+        for topic in ("catalog", "instances"):
+            state.note_store_heard(topic, self.wire.now)
+
+    def test_all_read_within_the_time_to_leave(self):
+        for delay in (0.0, 0.001, 0.02, 0.1):
+            with self.subTest(delay=delay):
+                self.setUp()
+                self.wire.delay = delay
+                self.run_fleet(10.0, store_answers=True)
+                lost = self.wire.now
+                first = self.run_fleet(20.0, store_answers=False)
+                latest = max(first.get(host, lost + 99.0) for host in self.duties)
+                self.assertLess(latest - lost, LEAVE_WITHIN)
+
+    def test_few_read_while_the_store_answers_them(self):
+        for delay in (0.0, 0.02, 0.1):
+            with self.subTest(delay=delay):
+                self.setUp()
+                self.wire.delay = delay
+                self.run_fleet(10.0, store_answers=True)
+                first = self.run_fleet(20.0, store_answers=True)
+                self.assertLessEqual(len(first), 6)
+
+
+class LateStore:
+    """Answers after some seconds, in which the process may have stood still."""
+
+    def __init__(self, clock, state, *steps):
+        self.clock = clock
+        self.state = state
+        self.steps = list(steps)
+
+    def list_newest(self, topic):
+        return self._next()
+
+    def read(self, topic, offset, wait):
+        return self._next()
+
+    def _next(self):
+        seconds, stalled, result = self.steps.pop(0)
+        if not stalled:
+            self._run(seconds)
+        self.clock.now += 0.0 if not stalled else seconds
+        return result
+
+    def _run(self, seconds):
+        for _ in range(round(seconds / 0.02)):
+            self.clock.now += 0.02
+            self.state.stalls.tick()
+
+
+class TestLatenessIsNoOutage(unittest.TestCase):
+    """Only an outage of the store lets upstreams be used on without their records."""
+
+    def follow(self, *steps):
+        self.clock = Clock()
+        self.view = View(None, self.clock)
+        self.view.state.stalls.tick()
+        store = LateStore(self.clock, self.view.state, *steps)
+        self.view.instances = self.view._follow(store, self.view.keeper.apply_instance)
+        for _ in steps:
+            self.view.instances.follow_once()
+
+    def check_gone(self):
+        self.assertEqual(self.view.get_ready(), set())
+
+    def test_a_process_that_stood_still_or_heard_of_an_outage_late(self):
+        listed = Listing([Entry("x", READY, 1)], 2)
+        gone = Batch([Entry("x", None, 2)], 3)
+        for stalled in (0.7, 1.5, 2.5, 4.0):
+            with self.subTest("stood still", seconds=stalled):
+                self.follow((0.0, False, listed), (1.0 + stalled, True, gone))
+                self.check_gone()
+        for way in (0.02, 0.1, 0.3):
+            with self.subTest("views on the way", seconds=way):
+                self.assertLess(self.exchange(way), 0.001)
+
+    def exchange(self, way):
+        """Let two tell each other of an outage; return how much later it is said to be.
+
+        Each view takes some seconds on its way, as at hosts that are crowded.
+        """
+        clock = Clock()
+        first, second = View(None, clock), View(None, clock)
+        regained = clock.now
+        first.state.lapses.note_regained(regained)
+        for giver, taker in ((first, second), (second, first)) * 10:
+            self.fetch(giver, taker, way)
+        return clock.now - first.state.lapses.get_age(clock.now) - regained
+
+    def fetch(self, giver, taker, way):
+        """Let one gateway ask another for its view, each message taking ``way``."""
+
+        def request(*args, **more):
+            giver.clock.now += way
+            age = giver.state.lapses.get_age(giver.clock.now)
+            data = encode_view(
+                make_topic_view(giver.catalog, 0),
+                make_topic_view(giver.instances, 0),
+                age,
+            )
+            giver.clock.now += way
+            return SimpleNamespace(status=200, data=data)
+
+        sync = ViewSync(taker.state, taker.catalog, taker.instances, 1, None)
+        sync._pool = SimpleNamespace(request=request)
+        taken = sync.fetch(SimpleNamespace(host="peer", address="10.0.0.2:4"))
+        self.assertTrue(taken)
+
+    def test_an_outage_is_told_from_it(self):
+        listed = Listing([Entry("x", READY, 1)], 2)
+        gone = Batch([Entry("x", None, 2)], 3)
+        self.follow((0.0, False, listed), (4.0, False, gone))
+        self.assertEqual(self.view.get_ready(), {"x"})
--- a/packages/valeweir_standins/src/valeweir_standins/wires.py
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -1,5 +1,6 @@
 """Gateways' exchanges of reports over a wire in memory, on a clock of its own."""
 
+import collections
 from types import SimpleNamespace
 
 from valeweir_gateway.directory import Directory
@@ -16,14 +17,18 @@
 
 
 class Wire:
-    """Exchanges joined by datagrams that arrive at once, or not at all.
+    """Exchanges joined by datagrams that arrive after ``delay`` seconds, or not at all.
 
     ``down`` holds addresses that neither send nor hear; ``is_cut`` is called
-    with the addresses of sender and receiver.
+    with the addresses of sender and receiver. ``create_state`` makes the state of
+    a gateway from a `Member` and a clock.
     """
 
-    def __init__(self, domains, size):
+    def __init__(self, domains, size, create_state=None):
         self.now = 0.0
+        self.delay = 0.0
+        self._create_state = create_state or make_state
+        self._under_way = collections.deque()
         self.down = set()
         self.is_cut = lambda sender, target: False
         self.fleets = {}
@@ -42,6 +47,7 @@
         """Let the exchanges tick for some seconds."""
         for _ in range(round(seconds / TICK)):
             self.now += TICK
+            self._deliver_due()
             for address, fleet in self.fleets.items():
                 if address not in self.down:
                     fleet.tick(self.now)
@@ -52,13 +58,23 @@
         return load.unread + load.remote_unread
 
     def _add(self, host, domain, address):
-        state = make_state(Member(host, domain, address), lambda: self.now)
+        state = self._create_state(Member(host, domain, address), lambda: self.now)
         sock = SimpleNamespace(
-            sendto=lambda data, to: self._deliver(address, f"{to[0]}:{to[1]}", data)
+            sendto=lambda data, to: self._send(address, f"{to[0]}:{to[1]}", data)
         )
         self.fleets[address] = Fleet(state, address, sock, number=1, seed=1)
         self.states[host] = state
 
+    def _send(self, sender, target, data):
+        if self.delay:
+            self._under_way.append((self.now + self.delay, sender, target, data))
+        else:
+            self._deliver(sender, target, data)
+
+    def _deliver_due(self):
+        while self._under_way and self._under_way[0][0] <= self.now:
+            self._deliver(*self._under_way.popleft()[1:])
+
     def _deliver(self, sender, target, data):
         lost = {sender, target} & self.down or self.is_cut(sender, target)
         if target in self.fleets and not lost:
