--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -1,18 +1,17 @@
 """What the gateway needs of the platform's store, and following it."""
 
-import collections
 import threading
 from typing import NamedTuple, Protocol
 
 from valeweir.exceptions import PlatformUnavailable
 
 from .beliefs import STORE, Taken
+from .topics import TopicRecords
 
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 1.0
 _IDLE_CHECK = 0.15
 _SERIES_PAUSE = 0.2
-_MAX_DROPPED = 2_000
 # Seconds beyond a call's own wait after which the store counts as having been
 # away: a hundred times its usual answer of some milliseconds.
 _LATE_ANSWER = 0.5
@@ -22,32 +21,6 @@
     """Records after the offset asked for are gone; list anew."""
 
 
-class Entry(NamedTuple):
-    """A record of a keyed topic; a value of None removes the key."""
-
-    key: str
-    value: bytes | None
-    offset: int
-
-
-class Listing(NamedTuple):
-    """The newest record of each key.
-
-    ``end`` is the offset that a reader goes on from: records that came while
-    the pages were read lie behind it.
-    """
-
-    entries: list[Entry]
-    end: int
-
-
-class Batch(NamedTuple):
-    """Records read in order; ``end`` is the offset to go on from."""
-
-    entries: list[Entry]
-    end: int
-
-
 class Asked(NamedTuple):
     """A call under way.
 
@@ -115,7 +88,7 @@
     ):
         self._store = store
         self._topic = topic
-        self._apply = apply
+        self._records = TopicRecords(apply)
         self._on_listed = on_listed
         self._log = log
         self._poll = poll
@@ -123,10 +96,6 @@
         self._is_wanted = is_wanted
         self._next = None
         self._lock = threading.RLock()
-        self._entries = {}
-        self._dropped = collections.deque()
-        self._oldest_whole = 0
-        self.end = 0
         self._pause = _FIRST_PAUSE
         self._available = None
         self.heard = None
@@ -183,37 +152,35 @@
         """Return whether the store did not answer the last call."""
         return self._available is False
 
+    @property
+    def end(self):
+        """Return the offset up to which the topic is known whole."""
+        return self._records.end
+
     def get_listing(self):
         """Return what is known as a `Listing`, for a peer."""
         with self._lock:
-            kept = [e for e in self._entries.values() if e.value is not None]
-            return Listing(kept, self.end)
+            return self._records.get_listing()
 
     def get_batch(self, offset):
-        """Return a `Batch` of what changed from ``offset`` on, None if forgotten."""
+        """Return a `Batch` of what changed from ``offset`` on, None if not known."""
         with self._lock:
-            if offset < self._oldest_whole:
-                return None
-            rows = [e for e in self._entries.values() if e.offset >= offset]
-            return Batch(sorted(rows, key=lambda row: row.offset), self.end)
+            return self._records.get_batch(offset)
 
     def adopt(self, listing, source="peer"):
         """Take in a peer's listing; older records than ours change nothing."""
-        with self._lock:
-            self._take_listing(listing, source)
+        self._take(self._records.take_listing, listing, source, True)
 
     def adopt_batch(self, batch, source="peer"):
         """Take in what a peer says has changed since our end."""
-        with self._lock:
-            self._take_batch(batch, source)
+        self._take(self._records.take_batch, batch, source, False)
 
     def _list(self):
         asked = self._note_asked(0.0)
         listing = self._store.list_newest(self._topic)
         self._note_answer(asked)
-        with self._lock:
-            self._take_listing(listing, STORE)
-            self._next = listing.end
+        self._take(self._records.take_listing, listing, STORE, True)
+        self._next = listing.end
         self._note_heard()
 
     def _note_heard(self):
@@ -237,16 +204,6 @@
         if self.is_away or late > _LATE_ANSWER:
             self._on_regained(now)
 
-    def _take_listing(self, listing, source):
-        named = {entry.key for entry in listing.entries}
-        for entry in listing.entries:
-            self._take(entry)
-        kept = {e.key for e in self._entries.values() if e.value is not None}
-        for key in kept - named:
-            # The key was dropped while nothing was heard.
-            self._take(Entry(key, None, listing.end - 1))
-        self._move_end(listing.end, source, is_listing=True)
-
     def _read(self):
         # What a peer has told meanwhile need not be read again.
         start = self._next = max(self._next, self.end)
@@ -257,39 +214,18 @@
             self._note_answer(asked)
             raise
         self._note_answer(asked)
-        with self._lock:
-            self._take_batch(batch, STORE)
-            self._next = batch.end
+        self._take(self._records.take_batch, batch, STORE, False)
+        self._next = batch.end
         self._note_heard()
 
-    def _take_batch(self, batch, source):
-        for entry in batch.entries:
-            self._take(entry)
-        self._move_end(batch.end, source, is_listing=False)
-
-    def _move_end(self, end, source, is_listing):
-        begin, self.end = self.end, max(self.end, end)
-        taken = Taken(begin, self.end, source, is_listing, self._clock())
-        self._on_taken(self._topic, taken)
-        self._on_listed(self.end)
-
-    def _take(self, entry):
-        known = self._entries.get(entry.key)
-        if known is not None and entry.offset <= known.offset:
-            return
-        self._entries[entry.key] = entry
-        if entry.value is None:
-            self._note_dropped(entry)
-        self._apply(entry)
-
-    def _note_dropped(self, entry):
-        """Keep the newest dropped keys, so that peers can be told of them."""
-        self._dropped.append(entry)
-        while len(self._dropped) > _MAX_DROPPED:
-            oldest = self._dropped.popleft()
-            if self._entries.get(oldest.key) is oldest:
-                del self._entries[oldest.key]
-            self._oldest_whole = max(self._oldest_whole, oldest.offset + 1)
+    def _take(self, take, told, source, is_listing):
+        """Take in what was told, by the `TopicRecords` method ``take``."""
+        with self._lock:
+            begin = self.end
+            take(told)
+            taken = Taken(begin, self.end, source, is_listing, self._clock())
+            self._on_taken(self._topic, taken)
+            self._on_listed(self.end)
 
     def _set_available(self, available, why):
         if available == self._available:
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -11,7 +11,7 @@
 import msgspec
 import urllib3
 
-from .stores import Batch, Entry, Listing
+from .topics import Batch, Entry, Listing
 
 VIEW_PATH = "/fleet/view"
 _CHECK = 0.06
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/topics.py
@@ -0,0 +1,109 @@
+"""What is known of a keyed topic: the newest record of each key, up to an end."""
+
+import collections
+from typing import NamedTuple
+
+_MAX_REMOVED = 2_000
+
+
+class Entry(NamedTuple):
+    """A record of a keyed topic; a value of None removes the key."""
+
+    key: str
+    value: bytes | None
+    offset: int
+
+
+class Listing(NamedTuple):
+    """The newest record of each key.
+
+    ``end`` is the offset that a reader goes on from: records that came while
+    the pages were read lie behind it.
+    """
+
+    entries: list[Entry]
+    end: int
+
+
+class Batch(NamedTuple):
+    """Records read in order; ``end`` is the offset to go on from."""
+
+    entries: list[Entry]
+    end: int
+
+
+class TopicRecords:
+    """The newest record of each key, whole up to `end`.
+
+    Whole means that every removal before the end is known too: a key that is not
+    known has been removed, whatever an older view says of it.
+
+    Parameters
+    ----------
+    apply : callable
+        Called with each `Entry` that is newer than what was known of its key.
+    """
+
+    def __init__(self, apply):
+        self._apply = apply
+        self._entries = {}
+        self._removed = collections.deque()
+        # Changes from here on are all known, removals among them.
+        self._changes_from = 0
+        self.end = 0
+
+    def get_listing(self):
+        """Return what is known as a `Listing`."""
+        kept = [e for e in self._entries.values() if e.value is not None]
+        return Listing(kept, self.end)
+
+    def get_batch(self, offset):
+        """Return a `Batch` of what changed from ``offset`` on, None if not known."""
+        if offset < self._changes_from:
+            return None
+        rows = [e for e in self._entries.values() if e.offset >= offset]
+        return Batch(sorted(rows, key=lambda row: row.offset), self.end)
+
+    def take_listing(self, listing):
+        """Take in a listing; one that is older than what is known changes nothing."""
+        if listing.end < self.end:
+            return
+        named = {entry.key for entry in listing.entries}
+        for entry in listing.entries:
+            self._take(entry)
+        kept = {e.key for e in self._entries.values() if e.value is not None}
+        for key in kept - named:
+            # The key was removed while nothing was heard.
+            self._take(Entry(key, None, listing.end - 1))
+        if listing.end > self.end:
+            # A listing does not tell what came and went since our end. Whoever knew
+            # it would keep it for good if told "this changed" without its removal,
+            # so those who are further behind get a listing too.
+            self._changes_from = listing.end
+        self.end = listing.end
+
+    def take_batch(self, batch):
+        """Take in records that begin at our end or before it."""
+        for entry in batch.entries:
+            # Known before, and gone since, where it is below our end.
+            if entry.offset >= self.end or entry.key in self._entries:
+                self._take(entry)
+        self.end = max(self.end, batch.end)
+
+    def _take(self, entry):
+        known = self._entries.get(entry.key)
+        if known is not None and entry.offset <= known.offset:
+            return
+        self._entries[entry.key] = entry
+        if entry.value is None:
+            self._note_removed(entry)
+        self._apply(entry)
+
+    def _note_removed(self, entry):
+        """Keep the newest removals, so that peers can be told of them."""
+        self._removed.append(entry)
+        while len(self._removed) > _MAX_REMOVED:
+            oldest = self._removed.popleft()
+            if self._entries.get(oldest.key) is oldest:
+                del self._entries[oldest.key]
+            self._changes_from = max(self._changes_from, oldest.offset + 1)
--- a/packages/valeweir_gateway/tests/test_leaving.py
+++ b/packages/valeweir_gateway/tests/test_leaving.py
@@ -19,7 +19,7 @@
 from valeweir_gateway.members import Member
 from valeweir_gateway.settings import GatewaySettings, Listen, Store, Upstreams
 from valeweir_gateway.states import GatewayState
-from valeweir_gateway.stores import Batch, Entry, HistoryExpired, Listing, TopicFollower
+from valeweir_gateway.stores import HistoryExpired, TopicFollower
 from valeweir_gateway.syncing import (
     ViewSync,
     adopt_view,
@@ -27,6 +27,7 @@
     encode_view,
     make_topic_view,
 )
+from valeweir_gateway.topics import Batch, Entry, Listing
 from valeweir_gateway.views import ViewKeeper
 from valeweir_standins.wires import Wire
 
--- a/packages/valeweir_gateway/tests/test_stores.py
+++ b/packages/valeweir_gateway/tests/test_stores.py
@@ -1,7 +1,8 @@
 import unittest
 
 from valeweir.exceptions import PlatformUnavailable
-from valeweir_gateway.stores import Batch, Entry, HistoryExpired, Listing, TopicFollower
+from valeweir_gateway.stores import HistoryExpired, TopicFollower
+from valeweir_gateway.topics import Batch, Entry, Listing
 
 
 class ScriptedStore:
--- a/packages/valeweir_gateway/tests/test_views.py
+++ b/packages/valeweir_gateway/tests/test_views.py
@@ -8,7 +8,7 @@
 from valeweir_gateway.lapses import Lapses
 from valeweir_gateway.settings import GatewaySettings, Listen, Store
 from valeweir_gateway.states import GatewayState
-from valeweir_gateway.stores import Batch, Entry, HistoryExpired, Listing, TopicFollower
+from valeweir_gateway.stores import HistoryExpired, TopicFollower
 from valeweir_gateway.syncing import (
     ViewSync,
     adopt_view,
@@ -16,6 +16,7 @@
     encode_view,
     make_topic_view,
 )
+from valeweir_gateway.topics import Batch, Entry, Listing
 from valeweir_gateway.views import ViewKeeper
 
 HOLD = 1.8
