--- a/packages/valeweir_gateway/src/valeweir_gateway/beliefs.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/beliefs.py
@@ -22,10 +22,10 @@
 
 def describe_view(state, now):
     """Return the fields that tell how old the view of the instances is, and why."""
-    age = state.get_store_age(now)
+    age = state.freshness.get_age(now)
     fields = {
         "view_offset": state.directory_offset,
-        "view_age_s": round(age, 3) if age >= 0.0 else None,
+        "view_age_s": None if age is None else round(age, 3),
         "reads_store": state.reads_store,
     }
     taken = state.taken.get(state.instance_topic)
--- a/packages/valeweir_gateway/src/valeweir_gateway/duties.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/duties.py
@@ -1,15 +1,21 @@
 """Whether a gateway reads the store itself.
 
 Every call of the store has its price, and in a large fleet the first relay of
-each failure domain reads for all. The others read only while no gateway that
-they hear from has heard from the store lately.
+each failure domain reads for all. The others read only while their view, by what
+their relay tells them, is not known to be new enough.
 """
 
 from .relays import MESH_LIMIT
 
 # All in seconds.
-_LONGEST_AGE = 2.0
+# Of the time in which a leaving upstream must get no more: what it takes to notice an
+# old view (0.15), to call the store, to take in its answer, and to send.
+_READ_TIME = 0.6
+# What a view ages on its way from the gateway that reads: at two steps each, the
+# heartbeat that brings the stamp (0.3), and the ticks of crowded relays.
+_RELAYED_TIME = 1.0
 _FLEET_POLL = 1.0
+_LEAST_POLL = 0.2
 # At the start others may soon be heard that have read the store already.
 _MEMBERS_WAIT = 1.0
 _VIEW_WAIT = 2.0
@@ -33,11 +39,11 @@
         if reads != self._reads:
             self._reads = self._state.reads_store = reads
             now = self._state.clock()
-            age = self._state.get_peers_store_age(now)
+            age = self._state.freshness.get_age(now)
             self._state.log.note(
                 "store duty",
                 reads=reads,
-                peers_age_s=None if age is None else round(age, 3),
+                view_age_s=None if age is None else round(age, 3),
                 asked_to=now < self._own_until,
             )
         return reads
@@ -56,12 +62,18 @@
     def get_poll(self):
         """Return how long a call waits for a record, in seconds.
 
-        Those that others depend on have to notice a silent store soon.
+        Those that others depend on have to notice a silent store soon, and an answer
+        must come while the last one is still new enough at the others.
         """
         poll = self._state.cfg.store.poll
         if len(self._state.members) <= MESH_LIMIT:
             return poll
-        return min(poll, _FLEET_POLL)
+        relayed = max(_LEAST_POLL, self._get_longest_age() - _RELAYED_TIME)
+        return min(poll, _FLEET_POLL, relayed)
+
+    def _get_longest_age(self):
+        """Return the age at which a view leaves just the time to read the store."""
+        return self._state.cfg.upstreams.leave_within_ms / 1000.0 - _READ_TIME
 
     def _decide(self, now):
         state = self._state
@@ -73,10 +85,10 @@
             return True
         if plan.is_relay and self._is_first(now) or now < self._own_until:
             return True
-        age = state.get_peers_store_age(now)
+        age = state.freshness.get_age(now)
         if age is None:
             return uptime > _VIEW_WAIT
-        return age > _LONGEST_AGE
+        return age > self._get_longest_age()
 
     def _is_first(self, now):
         members = self._state.members
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -9,6 +9,7 @@
 import socket
 import time
 
+from .freshness import Stamps, make_echo
 from .links import Links
 from .members import Member
 from .relays import make_plan
@@ -35,6 +36,7 @@
         self.address = address
         self._sock = sock
         self._number = number
+        self._stamps = Stamps(state.clock, number)
         self._seq = 0
         self._rng = random.Random(seed)
         self._links = Links()
@@ -102,12 +104,23 @@
         for row in report.members:
             state.members.add(Member(*row))
         if report.role == Role.HELLO or self._is_misdirected(report, now):
-            answer = self._make(Role.ALIVE, now, with_members=True)
+            answer = self._make(Role.ALIVE, now, with_members=True, host=report.host)
             self._send_to(address, answer)
         self._take_reads(report, now)
+        self._note_view(report)
         if fresh:
             state.log.note("peer heard", peer=report.host, address=address)
 
+    def _note_view(self, report):
+        """Take in how old the view of a peer is that knows no more than we do."""
+        state = self._state
+        spoken_after = self._stamps.get_time(report.echo)
+        if spoken_after is None or report.store_age < 0.0:
+            return
+        known = state.catalog_offset >= report.catalog_offset
+        if known and state.directory_offset >= report.directory_offset:
+            state.freshness.note_peer(spoken_after - report.store_age)
+
     def _is_misdirected(self, report, now):
         """Return whether a relay takes this gateway for one and should be told.
 
@@ -223,13 +236,16 @@
         child = children.get(link.member.host)
         if link.role == Role.DOWN and child is not None:
             totals = everything.without(child)
-        told = (totals.loads, totals.usage, self._state.stopping)
+        state = self._state
+        told = (totals.loads, totals.usage, state.stopping, state.freshness.news)
         due = now - link.told_at >= _HEARTBEAT
         if not due and not link.reads and told == link.told:
             return
         link.told, link.told_at = told, now
         reads = link.take_reads()
-        report = self._make(link.role, now, totals, reads, with_members=due)
+        report = self._make(
+            link.role, now, totals, reads, with_members=due, host=link.member.host
+        )
         members.note_tried(link.member.host, now)
         self._send_to(link.member.address, report)
 
@@ -246,9 +262,13 @@
         for address in members.get_unnamed():
             self._send_to(address, report)
 
-    def _make(self, role, now, totals=None, reads=(), with_members=False):
+    def _make(self, role, now, totals=None, reads=(), with_members=False, host=None):
+        """Return a `Report`, with an echo where it goes to one ``host`` only."""
         state = self._state
         self._seq += 1
+        peer = state.members.peers.get(host)
+        # Before the ends: what comes meanwhile makes them newer than this says.
+        age = state.freshness.get_age(now)
         return Report(
             VERSION,
             state.cfg.host,
@@ -258,7 +278,7 @@
             role,
             state.catalog.version if state.catalog else 0,
             state.directory_offset,
-            state.get_store_age(now),
+            -1.0 if age is None else age,
             state.stopping,
             totals.gateways if totals else 0,
             totals.loads if totals else {},
@@ -268,6 +288,8 @@
             self._pick_members(now) if with_members else [],
             state.members.own.capacity,
             catalog_offset=state.catalog_offset,
+            stamp=self._stamps.make(),
+            echo=make_echo(peer.report if peer else None),
         )
 
     def _pick_members(self, now):
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/freshness.py
@@ -0,0 +1,108 @@
+"""As of when this gateway's view of the store is known to have been whole.
+
+Whoever reads the store knows it from the store's answers, the others by a peer's word
+that its view, up to the same ends, was whole some seconds before it spoke. When it
+spoke is not known, but it answers to a stamp of this gateway's own clock and so spoke
+after that. Time on the way, in queues and in pauses therefore makes a view look older
+than it is and never younger, and passing an age round renews nothing. Counted from
+its arrival instead, an age was renewed by each message under way: with 70 gateways and
+0.1 s on the way a view counted as new 4 s too long.
+"""
+
+import threading
+from typing import NamedTuple
+
+# Configuration and upstreams.
+_TOPICS = 2
+# Seconds by which a view must have become newer for peers to be told before their next
+# heartbeat is due.
+_NEWS_STEP = 0.5
+# Numbers of incarnations are told apart by their last bits: one in 65,536 is mistaken,
+# and then its stamps must also lie within this process's life.
+_NUMBER_MASK = 0xFFFF
+
+
+class Echo(NamedTuple):
+    """The newest stamp got from a peer, sent back to it; see `Stamps`.
+
+    ``number`` tells the peer's incarnation, ``stamp`` is in milliseconds on its clock.
+    """
+
+    number: int = -1
+    stamp: int = -1
+
+
+class Freshness:
+    """Times, on the steady clock, as of which the view is known to be whole."""
+
+    def __init__(self):
+        self._answered = {}
+        self._told = None
+        self._announced = None
+        # Noted by the threads that read the store and by the loop.
+        self._lock = threading.Lock()
+        # Rises when peers should soon be told.
+        self.news = 0
+
+    def note_answer(self, topic, as_of):
+        """Note that the store's answers on a topic are whole as of a time."""
+        with self._lock:
+            self._answered[topic] = max(as_of, self._answered.get(topic, as_of))
+            self._announce()
+
+    def note_peer(self, as_of):
+        """Note that a peer whose view is no newer than ours had it whole then."""
+        with self._lock:
+            self._told = as_of if self._told is None else max(as_of, self._told)
+            self._announce()
+
+    def get_age(self, now):
+        """Return how many seconds ago the view was whole at the latest, or None."""
+        as_of = self._get_as_of()
+        return None if as_of is None else max(0.0, now - as_of)
+
+    def _get_as_of(self):
+        if len(self._answered) < _TOPICS:
+            return self._told
+        answered = min(self._answered.values())
+        return answered if self._told is None else max(answered, self._told)
+
+    def _announce(self):
+        as_of = self._get_as_of()
+        if as_of is None:
+            return
+        if self._announced is None or as_of - self._announced >= _NEWS_STEP:
+            self._announced = as_of
+            self.news += 1
+
+
+class Stamps:
+    """Stamps of this gateway's clock, and what peers' echoes of them tell.
+
+    Parameters
+    ----------
+    number : int
+        This incarnation, so that echoes to an earlier one are not taken.
+    """
+
+    def __init__(self, clock, number):
+        self._clock = clock
+        self._number = number & _NUMBER_MASK
+        self._started = clock()
+
+    def make(self):
+        """Return a stamp for a report that goes out now."""
+        return int(self._clock() * 1000.0)
+
+    def get_time(self, echo):
+        """Return the time of one of our stamps that an `Echo` holds, or None."""
+        at = echo.stamp / 1000.0
+        known = echo.number == self._number
+        return at if known and self._started <= at <= self._clock() else None
+
+
+def make_echo(report):
+    """Return the `Echo` of a peer's report, which may be None."""
+    if report is None:
+        return Echo()
+    return Echo(report.number & _NUMBER_MASK, report.stamp)
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -161,10 +161,14 @@
                 reply.send(404, [], b"")
                 return
             followers = self._followers
+            now = self.state.clock()
+            # Before the records: what came meanwhile makes them newer than this says.
+            age = self.state.freshness.get_age(now)
             data = encode_view(
                 make_topic_view(followers.catalog, _get_offset(request, "catalog")),
                 make_topic_view(followers.instances, _get_offset(request, "instances")),
-                self.state.lapses.get_age(self.state.clock()),
+                self.state.lapses.get_age(now),
+                -1.0 if age is None else age,
             )
             reply.send(200, [("Content-Type", "application/msgpack")], data)
 
@@ -185,7 +189,8 @@
         gauges.warming.set(len(state.slow_start))
         gauges.evacuated.set(len(state.evacuations.domains))
         gauges.view_offset.set(state.directory_offset)
-        gauges.view_age.set(state.get_store_age(state.clock()))
+        age = state.freshness.get_age(state.clock())
+        gauges.view_age.set(-1.0 if age is None else age)
         gauges.lag.set(state.pressure.lag)
         gauges.live_peers.set(len(state.members.get_live(state.clock())))
         gauges.instances.set(len(state.directory.by_id))
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -12,6 +12,8 @@
 import msgspec
 import xxhash
 
+from .freshness import Echo
+
 VERSION = 2
 MAX_BYTES = 1_400
 _KEPT_PART = 0.75
@@ -43,16 +45,19 @@
 
     ``number`` is the incarnation, greater for a later start; ``seq`` rises
     with every report. ``catalog_version`` and ``directory_offset`` tell how new
-    the sender's view is and ``store_age`` when it last heard from the store, in
-    seconds, negative for never. ``gateways`` is how many the sums stand for.
-    ``loads`` maps an instance's digest to the prompt tokens sent there and not
-    read, and the requests running. ``usage`` maps an account's digest to the
-    tokens asked and begun within the window. ``reads`` lists (instance digest,
-    part digest) of prompt parts that an instance reads for the first time.
+    the sender's view is, and ``store_age`` how many seconds before it sent this
+    the view was whole, negative for never; see `freshness`. ``gateways`` is how
+    many the sums stand for. ``loads`` maps an instance's digest to the prompt
+    tokens sent there and not read, and the requests running. ``usage`` maps an
+    account's digest to the tokens asked and begun within the window. ``reads``
+    lists (instance digest, part digest) of prompt parts that an instance reads for
+    the first time.
     ``silent`` names failure domains that the sender's relays hear nothing of.
     ``members`` are rows of host, failure domain, address and capacity. One with
     ``only_reads`` holds no figures and replaces none. ``catalog_offset`` is how far
     the sender has read the configuration topic, which holds evacuations too.
+    ``stamp`` is the sender's clock in milliseconds; ``echo`` sends the receiver's own
+    newest stamp back to it.
     """
 
     version: int
@@ -74,6 +79,8 @@
     capacity: float = 1.0
     only_reads: bool = False
     catalog_offset: int = 0
+    stamp: int = -1
+    echo: Echo = Echo()
 
 
 _encoder = msgspec.msgpack.Encoder()
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -9,6 +9,7 @@
 from .directory import Directory
 from .domains import Domains
 from .evacuations import Evacuations
+from .freshness import Freshness
 from .goals import RecentGoals
 from .headers import HeaderNames, get_own_headers, get_replaced_headers
 from .intake import Intake
@@ -65,7 +66,7 @@
         self.members = Members(
             Member(cfg.host, cfg.domain, cfg.listen.reports, cfg.processor.capacity)
         )
-        self._store_heard = {}
+        self.freshness = Freshness()
         # For the log: what was last taken into the view, by topic.
         self.taken = {}
         self.instance_topic = None
@@ -106,28 +107,9 @@
         level = get_intake_level(wait, self.goals.get_least(now))
         return not self.overload.check(max(level, self.get_pressure()), now)
 
-    def get_peers_store_age(self, now):
-        """Return seconds since any live peer heard from the store, or None."""
-        ages = [
-            peer.report.store_age + now - peer.heard
-            for peer in self.members.get_live(now)
-            if peer.report.store_age >= 0.0
-        ]
-        return min(ages) if ages else None
-
-    def get_store_age(self, now):
-        """Return seconds since this gateway or a live peer heard from the store.
-
-        Negative where none has.
-        """
-        ages = [self.get_peers_store_age(now)]
-        if self._store_heard:
-            ages.append(now - min(self._store_heard.values()))
-        return min((age for age in ages if age is not None), default=-1.0)
-
-    def note_store_heard(self, topic, now):
-        """Note that the store has answered for a topic."""
-        self._store_heard[topic] = now
+    def note_store_heard(self, topic, as_of):
+        """Note that the store's answers on a topic are whole as of a time."""
+        self.freshness.note_answer(topic, as_of)
 
     def note_taken(self, topic, taken):
         """Note what was taken into the view of a topic."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -61,7 +61,8 @@
         Returns whether to read now; a gateway that takes its view from a peer
         reads nothing itself.
     on_heard : callable
-        Called with the topic and the time after each answer of the store.
+        Called with the topic and the time as of which it is known whole, after what
+        the store answered has been applied.
     on_regained : callable
         Called with the time when the store answers after it was away, before
         what it answered is applied.
@@ -81,7 +82,7 @@
         poll,
         clock,
         is_wanted=lambda: True,
-        on_heard=lambda topic, now: None,
+        on_heard=lambda topic, as_of: None,
         on_regained=lambda now: None,
         on_taken=lambda topic, taken: None,
         get_stalled=lambda: 0.0,
@@ -181,11 +182,11 @@
         self._note_answer(asked)
         self._take(self._records.take_listing, listing, STORE, True)
         self._next = listing.end
-        self._note_heard()
+        self._note_heard(asked.at)
 
-    def _note_heard(self):
+    def _note_heard(self, as_of):
         self.heard = self._clock()
-        self._on_heard(self._topic, self.heard)
+        self._on_heard(self._topic, as_of)
 
     def _note_asked(self, wait):
         return Asked(self._clock(), wait, self._get_stalled())
@@ -216,7 +217,9 @@
         self._note_answer(asked)
         self._take(self._records.take_batch, batch, STORE, False)
         self._next = batch.end
-        self._note_heard()
+        # The store answers without a record only once it has waited for one.
+        waited = 0.0 if batch.entries else asked.wait
+        self._note_heard(min(asked.at + waited, self._clock()))
 
     def _take(self, take, told, source, is_listing):
         """Take in what was told, by the `TopicRecords` method ``take``."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -34,11 +34,14 @@
 
     ``regained_age`` is how long ago the store came back after it was away, in
     seconds, negative for never: records that go soon after may be written again.
+    ``age`` is how long ago the view was whole at the latest, in seconds, negative where
+    that is not known.
     """
 
     catalog: TopicView
     instances: TopicView
     regained_age: float = -1.0
+    age: float = -1.0
 
 
 _decoder = msgspec.msgpack.Decoder(View)
@@ -53,9 +56,9 @@
     return TopicView([tuple(entry) for entry in batch.entries], batch.end, False)
 
 
-def encode_view(catalog, instances, regained_age=-1.0):
+def encode_view(catalog, instances, regained_age=-1.0, age=-1.0):
     """Return the bytes of a view of two `TopicView`."""
-    return msgspec.msgpack.encode(View(catalog, instances, regained_age))
+    return msgspec.msgpack.encode(View(catalog, instances, regained_age, age))
 
 
 def decode_view(data):
@@ -119,6 +122,7 @@
         host = peer.address.rpartition(":")[0]
         url = f"http://{host}:{self._port}{VIEW_PATH}"
         since = {"catalog": self._catalog.end, "instances": self._instances.end}
+        asked = self._state.clock()
         try:
             resp = self._pool.request("GET", url, fields=since, timeout=_TIMEOUT)
         except urllib3.exceptions.HTTPError:
@@ -127,6 +131,9 @@
         if view is None:
             return False
         self.adopt(view, peer.host)
+        if view.age >= 0.0:
+            # The peer spoke after it was asked.
+            self._state.freshness.note_peer(asked - view.age)
         return True
 
     def adopt(self, view, source="peer"):
--- a/packages/valeweir_standins/src/valeweir_standins/wires.py
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -5,10 +5,11 @@
 
 from valeweir_gateway.directory import Directory
 from valeweir_gateway.fleet import Fleet
+from valeweir_gateway.freshness import Freshness
 from valeweir_gateway.loads import Loads, Reads
 from valeweir_gateway.members import Member, Members
 from valeweir_gateway.retries import RetryBudget
-from valeweir_gateway.settings import Sharing
+from valeweir_gateway.settings import Sharing, Upstreams
 from valeweir_gateway.shares import Shares
 from valeweir_gateway.usage import UsageWindow
 
@@ -86,14 +87,15 @@
     """Return as much of a gateway's state as its exchange needs."""
     usage = UsageWindow(_WINDOW)
     return SimpleNamespace(
-        cfg=SimpleNamespace(host=member.host, domain=member.domain),
+        cfg=SimpleNamespace(
+            host=member.host, domain=member.domain, upstreams=Upstreams()
+        ),
         clock=clock,
         catalog=None,
         directory=Directory(),
         directory_offset=0,
         catalog_offset=0,
-        get_store_age=lambda now: 0.0,
-        get_peers_store_age=lambda now: 0.0,
+        freshness=Freshness(),
         loads=Loads(),
         log=SimpleNamespace(note=lambda *args, **fields: None),
         members=Members(member),
