--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -99,6 +99,8 @@
         self._lock = threading.RLock()
         self._pause = _FIRST_PAUSE
         self._available = None
+        self._asked = None
+        self._was_away = False
         self.heard = None
         self._on_heard = on_heard
         self._on_regained = on_regained
@@ -136,6 +138,7 @@
             self._log.note("history expired", topic=self._topic, offset=self._next)
             self._next = None
         except PlatformUnavailable as exc:
+            self._note_failure()
             self._set_available(False, str(exc))
             return False
         except Exception as exc:
@@ -179,7 +182,7 @@
     def _list(self):
         asked = self._note_asked(0.0)
         listing = self._store.list_newest(self._topic)
-        self._note_answer(asked)
+        self._note_answer()
         self._take(self._records.take_listing, listing, STORE, True)
         self._next = listing.end
         self._note_heard(asked.at)
@@ -189,21 +192,35 @@
         self._on_heard(self._topic, as_of)
 
     def _note_asked(self, wait):
-        return Asked(self._clock(), wait, self._get_stalled())
+        self._asked = Asked(self._clock(), wait, self._get_stalled())
+        return self._asked
 
-    def _note_answer(self, asked):
+    def _note_failure(self):
+        """Note that the store is away, unless this process had no time to hear it."""
+        if self._get_stalled_since() <= _LATE_ANSWER:
+            self._was_away = True
+
+    def _note_answer(self):
         """Tell where this answer ends a time in which the store was away."""
         now = self._clock()
-        late = now - asked.at - asked.wait
+        stalled = self._get_stalled_since()
+        late = now - self._asked.at - self._asked.wait
         if late > _LATE_ANSWER:
             self._log.note(
                 "store answered late",
                 topic=self._topic,
                 late_s=round(late, 3),
-                stalled_s=round(self._get_stalled() - asked.stalled, 3),
+                stalled_s=round(stalled, 3),
             )
-        if self.is_away or late > _LATE_ANSWER:
+        # An answer that lay here unread is no outage: an upstream whose record went
+        # meanwhile has left, and would get work for two seconds more.
+        if self._was_away or late - stalled > _LATE_ANSWER:
             self._on_regained(now)
+        self._was_away = False
+
+    def _get_stalled_since(self):
+        """Return for how long this process stood still since the last call began."""
+        return self._get_stalled() - self._asked.stalled
 
     def _read(self):
         # What a peer has told meanwhile need not be read again.
@@ -212,9 +229,9 @@
         try:
             batch = self._store.read(self._topic, start, asked.wait)
         except HistoryExpired:
-            self._note_answer(asked)
+            self._note_answer()
             raise
-        self._note_answer(asked)
+        self._note_answer()
         self._take(self._records.take_batch, batch, STORE, False)
         self._next = batch.end
         # The store answers without a record only once it has waited for one.
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -130,19 +130,21 @@
         view = decode_view(resp.data) if resp.status == 200 else None
         if view is None:
             return False
-        self.adopt(view, peer.host)
-        if view.age >= 0.0:
-            # The peer spoke after it was asked.
-            self._state.freshness.note_peer(asked - view.age)
+        self.adopt(view, peer.host, asked)
         return True
 
-    def adopt(self, view, source="peer"):
-        """Take the `View` of the peer ``source`` in."""
+    def adopt(self, view, source, asked):
+        """Take in the `View` of the peer ``source`` that was asked for at a time."""
         if view.regained_age >= 0.0:
-            now = self._state.clock()
-            self._state.lapses.note_regained(now - view.regained_age)
+            # Ages count from when the peer was asked, as it spoke after that. Counted
+            # from their arrival, the return of the store moved on with each view that
+            # gateways exchanged, and with it the time for which records that go are
+            # believed to come back: by 2 s in 20 views of 0.2 s each.
+            self._state.lapses.note_regained(asked - view.regained_age)
         adopt_view(self._catalog, view.catalog, source)
         adopt_view(self._instances, view.instances, source)
+        if view.age >= 0.0:
+            self._state.freshness.note_peer(asked - view.age)
 
     def _run(self, stopped):
         interval = _CHECK
--- a/packages/valeweir_gateway/tests/test_leaving.py
+++ b/packages/valeweir_gateway/tests/test_leaving.py
@@ -14,6 +14,7 @@
 import unittest
 from types import SimpleNamespace
 
+from valeweir.exceptions import PlatformUnavailable
 from valeweir_gateway.directory import Instance
 from valeweir_gateway.duties import StoreDuty
 from valeweir_gateway.members import Member
@@ -331,6 +332,8 @@
         if not stalled:
             self._run(seconds)
         self.clock.now += 0.0 if not stalled else seconds
+        if isinstance(result, Exception):
+            raise result
         return result
 
     def _run(self, seconds):
@@ -397,6 +400,17 @@
         taken = sync.fetch(SimpleNamespace(host="peer", address="10.0.0.2:4"))
         self.assertTrue(taken)
 
+    def test_a_call_that_failed_while_the_process_stood_still(self):
+        listed = Listing([Entry("x", READY, 1)], 2)
+        gone = Batch([Entry("x", None, 2)], 3)
+        failed = PlatformUnavailable("reset")
+        for stalled, used_on in ((True, set()), (False, {"x"})):
+            with self.subTest(stalled=stalled):
+                self.follow(
+                    (0.0, False, listed), (3.0, stalled, failed), (0.0, False, gone)
+                )
+                self.assertEqual(self.view.get_ready(), used_on)
+
     def test_an_outage_is_told_from_it(self):
         listed = Listing([Entry("x", READY, 1)], 2)
         gone = Batch([Entry("x", None, 2)], 3)
