--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -157,7 +157,8 @@
 
     def _create_view_handler(self):
         def handle(request, reply):
-            if request.path != VIEW_PATH or self.state.catalog is None:
+            # A peer takes what it is given for all there is.
+            if request.path != VIEW_PATH or not self.state.knows_all:
                 reply.send(404, [], b"")
                 return
             followers = self._followers
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -92,6 +92,12 @@
         """Return how many requests are read and not answered."""
         return self._inflight
 
+    @property
+    def knows_all(self):
+        """Return whether it has a whole view of every topic that requests need."""
+        known = self.catalog_known and self.directory_known
+        return self.catalog is not None and known
+
     def get_pressure(self):
         """Return the `pressure.Level` of this gateway."""
         occupancy = get_occupancy_level(self._inflight, self.cfg.most_inflight)
@@ -99,8 +105,7 @@
 
     def is_ready(self):
         """Return whether the balancer should send clients here."""
-        known = self.catalog_known and self.directory_known
-        if self.catalog is None or not known or self.stopping:
+        if not self.knows_all or self.stopping:
             return False
         now = self.clock()
         wait = self.intake.estimate_wait()
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_gateway.py
@@ -0,0 +1,71 @@
+import unittest
+from types import SimpleNamespace
+
+from valeweir_gateway.gateway import VIEW_PATH, create_gateway
+from valeweir_gateway.headers import HeaderNames
+from valeweir_gateway.settings import GatewaySettings, Listen, Store
+from valeweir_gateway.syncing import decode_view
+from valeweir_gateway.topics import Entry, Listing
+
+
+def make_gateway():
+    listen = Listen("127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
+    cfg = GatewaySettings("h", "a", listen, Store("127.0.0.1:9"))
+    adapter = SimpleNamespace(
+        names=HeaderNames(),
+        ready_path="/ready",
+        store=None,
+        catalog_topic="catalog",
+        catalog_key="config",
+        instance_topic="instances",
+        member_topic="members",
+        decode_catalog=lambda value: SimpleNamespace(
+            version=1, routes=(), accounts=(), services={}
+        ),
+        find_evacuated=lambda key: None,
+        list_parts=None,
+    )
+    gateway = create_gateway(cfg, adapter, SimpleNamespace(note=lambda *a, **f: None))
+    return gateway
+
+
+class Reply:
+    def __init__(self):
+        self.status = None
+        self.body = b""
+
+    def send(self, status, headers, body):
+        self.status = status
+        self.body = body
+
+
+class TestViewForPeers(unittest.TestCase):
+    def setUp(self):
+        self.gateway = make_gateway()
+        self.addCleanup(self.gateway._fleet._sock.close)
+
+    def ask(self):
+        reply = Reply()
+        request = SimpleNamespace(path=VIEW_PATH, target=VIEW_PATH)
+        self.gateway._create_view_handler()(request, reply)
+        return reply
+
+    def test_none_is_given_before_all_topics_are_known(self):
+        """A gateway that joins would take "no upstream" for all there is."""
+        followers = self.gateway._followers
+        self.assertEqual(self.ask().status, 404)
+        followers.catalog.adopt(Listing([Entry("config", b"{}", 3)], 4))
+        self.assertEqual(self.ask().status, 404)
+        followers.instances.adopt(Listing([], 9))
+        reply = self.ask()
+        self.assertEqual(reply.status, 200)
+        self.assertEqual(decode_view(reply.body).instances.end, 9)
+
+    def test_it_tells_its_age(self):
+        followers = self.gateway._followers
+        followers.catalog.adopt(Listing([Entry("config", b"{}", 3)], 4))
+        followers.instances.adopt(Listing([], 9))
+        self.assertEqual(decode_view(self.ask().body).age, -1.0)
+        state = self.gateway.state
+        state.freshness.note_peer(state.clock() - 5.0)
+        self.assertGreaterEqual(decode_view(self.ask().body).age, 5.0)
