--- a/packages/valeweir_gateway/src/valeweir_gateway/duties.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/duties.py
@@ -5,8 +5,6 @@
 their relay tells them, is not known to be new enough.
 """
 
-from .relays import MESH_LIMIT
-
 # All in seconds.
 # Of the time in which a leaving upstream must get no more: what it takes to notice an
 # old view (0.15), to call the store, to take in its answer, and to send.
@@ -66,7 +64,7 @@
         must come while the last one is still new enough at the others.
         """
         poll = self._state.cfg.store.poll
-        if len(self._state.members) <= MESH_LIMIT:
+        if self._state.members.is_mesh:
             return poll
         relayed = max(_LEAST_POLL, self._get_longest_age() - _RELAYED_TIME)
         return min(poll, _FLEET_POLL, relayed)
@@ -81,7 +79,7 @@
         uptime = now - self._started
         if plan is None or not state.members_known and uptime < _MEMBERS_WAIT:
             return False
-        if len(state.members) <= MESH_LIMIT:
+        if state.members.is_mesh:
             return True
         if plan.is_relay and self._is_first(now) or now < self._own_until:
             return True
--- a/packages/valeweir_gateway/src/valeweir_gateway/members.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/members.py
@@ -11,6 +11,8 @@
 _FORGET_AFTER = 30.0
 _DOMAIN_SILENCE = 0.9
 _ANSWER_WAIT = 1.0
+# Gateways up to which everybody reports to everybody and reads the store itself.
+MESH_LIMIT = 16
 
 
 class Member(NamedTuple):
@@ -42,10 +44,17 @@
     """Gateways known, and those heard from, by host.
 
     A gateway that does not answer is suspect until it is heard again.
+
+    Parameters
+    ----------
+    own : Member
+    mesh_limit : int
+        Up to how many gateways the fleet needs no relays.
     """
 
-    def __init__(self, own):
+    def __init__(self, own, mesh_limit=MESH_LIMIT):
         self.own = own
+        self._mesh_limit = mesh_limit
         self._lock = threading.Lock()
         self._known = {own.host: own}
         self._ranked = {own.domain: [own]}
@@ -56,6 +65,11 @@
     def __len__(self):
         return len(self._known)
 
+    @property
+    def is_mesh(self):
+        """Return whether the fleet is so small that it needs no relays."""
+        return len(self) <= self._mesh_limit
+
     def add(self, member):
         """Note a gateway that somebody told of; what it says itself counts more."""
         with self._lock:
--- a/packages/valeweir_gateway/src/valeweir_gateway/relays.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/relays.py
@@ -14,7 +14,6 @@
 
 from .reports import Role
 
-MESH_LIMIT = 16
 _GROUP_SIZE = 16
 _LEAST_RELAYS = 2
 _STANDBYS = 2
@@ -35,9 +34,9 @@
     watched: tuple
 
 
-def count_relays(domain_size, fleet_size):
+def count_relays(domain_size, is_mesh):
     """Return how many relays a failure domain has."""
-    if fleet_size <= MESH_LIMIT:
+    if is_mesh:
         return domain_size
     wanted = math.ceil(domain_size / _GROUP_SIZE)
     return min(domain_size, max(_LEAST_RELAYS, wanted))
@@ -64,14 +63,14 @@
 
 def _choose_relays(members, domain, now):
     ranked = members.get_ranked(domain)
-    count = count_relays(len(ranked), len(members))
+    count = count_relays(len(ranked), members.is_mesh)
     usable = [row for row in ranked if not members.is_suspect(row.host, now)]
     return usable[:count]
 
 
 def _get_candidates(members, domain):
     ranked = members.get_ranked(domain)
-    return ranked[: count_relays(len(ranked), len(members)) + _STANDBYS]
+    return ranked[: count_relays(len(ranked), members.is_mesh) + _STANDBYS]
 
 
 def _find_fellows(members, live, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -5,6 +5,8 @@
 import msgspec
 from valeweir.exceptions import SettingsError
 
+from .members import MESH_LIMIT
+
 # Room for a gateway with nothing under way, and for each request under way.
 _BASE_MB = 80.0
 _REQUEST_MB = 0.1
@@ -81,6 +83,16 @@
     slack: float = 0.0
 
 
+class Reporting(msgspec.Struct, frozen=True):
+    """How gateways report to each other.
+
+    Above ``mesh_limit`` gateways reports and views of the store go through relays.
+    It has to be the same at all of them.
+    """
+
+    mesh_limit: int = MESH_LIMIT
+
+
 class Processor(msgspec.Struct, frozen=True):
     """What this host may use: a part of a core, and how many there are."""
 
@@ -136,6 +148,7 @@
     streams: Streams = Streams()
     upstreams: Upstreams = Upstreams()
     slow_start: SlowStart = SlowStart()
+    reporting: Reporting = Reporting()
     processor: Processor = Processor()
     memory: Memory = Memory()
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -64,7 +64,8 @@
         self.stalls = Stalls(clock, log.note)
         self.domains = Domains(cfg.domain)
         self.members = Members(
-            Member(cfg.host, cfg.domain, cfg.listen.reports, cfg.processor.capacity)
+            Member(cfg.host, cfg.domain, cfg.listen.reports, cfg.processor.capacity),
+            cfg.reporting.mesh_limit,
         )
         self.freshness = Freshness()
         # For the log: what was last taken into the view, by topic.
--- a/packages/valeweir_gateway/tests/test_fleet.py
+++ b/packages/valeweir_gateway/tests/test_fleet.py
@@ -89,6 +89,13 @@
     def setUp(self):
         self.members = make_members()
 
+    def test_a_mesh_up_to_the_limit_of_the_settings(self):
+        own = Member("a", "x", "10.0.0.1:7400")
+        members = Members(own, mesh_limit=2)
+        for host, is_mesh in (("b", True), ("c", False)):
+            members.add(own._replace(host=host))
+            self.assertEqual(members.is_mesh, is_mesh)
+
     def test_only_newer_reports_count(self):
         rows = [(1, 1, True), (1, 1, False), (1, 3, True), (1, 2, False), (2, 1, True)]
         for number, seq, taken in rows:
