--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -9,11 +9,11 @@
 import socket
 import time
 
-from .freshness import Stamps, make_echo
 from .links import Links
 from .members import Member
 from .relays import make_plan
-from .reports import VERSION, Report, Role, decode_report, encode_report, get_digest
+from .reporter import Reporter, make_own_totals
+from .reports import Role, decode_report, encode_report
 from .sums import Totals
 
 _TICK = 0.02
@@ -25,7 +25,6 @@
 _RECEIVE_BYTES = 2_048
 # So that requests are not behind a flood of reports.
 _DATAGRAMS_A_TURN = 16
-_MEMBERS_A_REPORT = 10
 
 
 class Fleet:
@@ -35,10 +34,7 @@
         self._state = state
         self.address = address
         self._sock = sock
-        self._number = number
-        self._stamps = Stamps(state.clock, number)
-        self._seq = 0
-        self._rng = random.Random(seed)
+        self._reporter = Reporter(state, number, random.Random(seed))
         self._links = Links()
         self._asked_at = 0.0
         self._corrected = {}
@@ -104,23 +100,15 @@
         for row in report.members:
             state.members.add(Member(*row))
         if report.role == Role.HELLO or self._is_misdirected(report, now):
-            answer = self._make(Role.ALIVE, now, with_members=True, host=report.host)
+            answer = self._reporter.make(
+                Role.ALIVE, now, with_members=True, host=report.host
+            )
             self._send_to(address, answer)
         self._take_reads(report, now)
-        self._note_view(report)
+        self._reporter.note_view(report)
         if fresh:
             state.log.note("peer heard", peer=report.host, address=address)
 
-    def _note_view(self, report):
-        """Take in how old the view of a peer is that knows no more than we do."""
-        state = self._state
-        spoken_after = self._stamps.get_time(report.echo)
-        if spoken_after is None or report.store_age < 0.0:
-            return
-        known = state.catalog_offset >= report.catalog_offset
-        if known and state.directory_offset >= report.directory_offset:
-            state.freshness.note_peer(spoken_after - report.store_age)
-
     def _is_misdirected(self, report, now):
         """Return whether a relay takes this gateway for one and should be told.
 
@@ -153,7 +141,7 @@
             state.log.note("peer lost", failed=True, peer=peer.host)
         plan = make_plan(state.members, now)
         self._note_plan(plan)
-        own = self._make_own(now)
+        own = make_own_totals(state, now)
         children = self._get_reports(plan.group, Role.UP, now)
         remote = Totals()
         for report in children.values():
@@ -180,17 +168,6 @@
                 "reporting", is_relay=plan.is_relay, relay=relay, group=len(plan.group)
             )
 
-    def _make_own(self, now):
-        state = self._state
-        loads = state.loads.get_report()
-        own = Totals()
-        own.add(
-            {get_digest(name): row for name, row in loads.items()},
-            state.usage.get_amounts(now),
-            1,
-        )
-        return own
-
     def _get_reports(self, members, role, now):
         """Return {host: Report} of the live ones among ``members`` in a role."""
         found = {}
@@ -243,7 +220,7 @@
             return
         link.told, link.told_at = told, now
         reads = link.take_reads()
-        report = self._make(
+        report = self._reporter.make(
             link.role, now, totals, reads, with_members=due, host=link.member.host
         )
         members.note_tried(link.member.host, now)
@@ -252,7 +229,7 @@
     def _ask(self, plan, now):
         """Ask members that are not heard, and addresses, for a sign of life."""
         members = self._state.members
-        report = self._make(Role.HELLO, now, with_members=True)
+        report = self._reporter.make(Role.HELLO, now, with_members=True)
         for member in plan.watched:
             members.note_tried(member.host, now)
             self._send_to(member.address, report)
@@ -262,42 +239,6 @@
         for address in members.get_unnamed():
             self._send_to(address, report)
 
-    def _make(self, role, now, totals=None, reads=(), with_members=False, host=None):
-        """Return a `Report`, with an echo where it goes to one ``host`` only."""
-        state = self._state
-        self._seq += 1
-        peer = state.members.peers.get(host)
-        # Before the ends: what comes meanwhile makes them newer than this says.
-        age = state.freshness.get_age(now)
-        return Report(
-            VERSION,
-            state.cfg.host,
-            state.cfg.domain,
-            self._number,
-            self._seq,
-            role,
-            state.catalog.version if state.catalog else 0,
-            state.directory_offset,
-            -1.0 if age is None else age,
-            state.stopping,
-            totals.gateways if totals else 0,
-            totals.loads if totals else {},
-            totals.usage if totals else {},
-            list(reads),
-            sorted(state.members.get_silent_domains(now)),
-            self._pick_members(now) if with_members else [],
-            state.members.own.capacity,
-            catalog_offset=state.catalog_offset,
-            stamp=self._stamps.make(),
-            echo=make_echo(peer.report if peer else None),
-        )
-
-    def _pick_members(self, now):
-        members = self._state.members
-        live = [members.get(peer.host) for peer in members.get_live(now)]
-        picked = self._rng.sample(live, min(len(live), _MEMBERS_A_REPORT))
-        return [tuple(member) for member in [members.own, *picked]]
-
     def _send_to(self, address, report):
         host, _, port = address.rpartition(":")
         try:
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/following.py
@@ -0,0 +1,86 @@
+"""The followers of the store's topics, and what they tell peers that ask."""
+
+from typing import NamedTuple
+from urllib.parse import parse_qs
+
+from .stores import TopicFollower
+from .syncing import VIEW_PATH, encode_view, make_topic_view
+
+
+class Followers(NamedTuple):
+    """One follower for each topic of the store."""
+
+    catalog: TopicFollower
+    instances: TopicFollower
+    members: TopicFollower
+
+
+def create_followers(state, adapter, duty, keeper):
+    """Return the `Followers` that hand their records to a `views.ViewKeeper`."""
+
+    def ignore(*_):
+        pass
+
+    state.instance_topic = adapter.instance_topic
+
+    def follow(
+        topic,
+        apply,
+        on_listed=ignore,
+        is_wanted=duty.reads_store,
+        on_heard=state.note_store_heard,
+    ):
+        return TopicFollower(
+            adapter.store,
+            topic,
+            apply,
+            on_listed,
+            state.log,
+            duty.get_poll,
+            state.clock,
+            is_wanted,
+            on_heard,
+            state.lapses.note_regained,
+            state.note_taken,
+            state.stalls.get_total,
+        )
+
+    return Followers(
+        follow(adapter.catalog_topic, keeper.apply_catalog, keeper.note_catalog),
+        follow(adapter.instance_topic, keeper.apply_instance, keeper.note_directory),
+        follow(
+            adapter.member_topic,
+            keeper.apply_member,
+            keeper.note_members,
+            duty.reads_members,
+            ignore,
+        ),
+    )
+
+
+def create_view_handler(state, followers):
+    """Return the handler that gives peers this gateway's view, or what changed."""
+
+    def handle(request, reply):
+        # A peer takes what it is given for all there is.
+        if request.path != VIEW_PATH or not state.knows_all:
+            reply.send(404, [], b"")
+            return
+        now = state.clock()
+        # Before the records: what came meanwhile makes them newer than this says.
+        age = state.freshness.get_age(now)
+        data = encode_view(
+            make_topic_view(followers.catalog, _get_offset(request, "catalog")),
+            make_topic_view(followers.instances, _get_offset(request, "instances")),
+            state.lapses.get_age(now),
+            -1.0 if age is None else age,
+        )
+        reply.send(200, [("Content-Type", "application/msgpack")], data)
+
+    return handle
+
+
+def _get_offset(request, name):
+    query = parse_qs(request.target.partition("?")[2])
+    text = query.get(name, [""])[-1]
+    return int(text) if text.isdigit() else 0
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -3,8 +3,6 @@
 import asyncio
 import threading
 import time
-from typing import NamedTuple
-from urllib.parse import parse_qs
 
 from valeweir.timers import TimerService
 
@@ -14,13 +12,13 @@
 from .domains import PROBE_INTERVAL, DomainProber
 from .duties import StoreDuty
 from .fleet import create_fleet
+from .following import create_followers, create_view_handler
 from .forwarding import create_handler
 from .publishing import Publisher
 from .servers import create_plain_handler, create_server
 from .sockets import prepare_socket
 from .states import GatewayState
-from .stores import TopicFollower
-from .syncing import VIEW_PATH, ViewSync, encode_view, make_topic_view
+from .syncing import ViewSync
 from .views import ViewKeeper
 
 METRICS_PATH = "/metrics"
@@ -37,14 +35,6 @@
 _CLOSE_WAIT = 2.0
 
 
-class Followers(NamedTuple):
-    """One follower for each topic of the store."""
-
-    catalog: TopicFollower
-    instances: TopicFollower
-    members: TopicFollower
-
-
 class Gateway:
     """A running gateway."""
 
@@ -58,10 +48,12 @@
         self._fleet = create_fleet(state, listen.reports)
         duty = StoreDuty(state, lambda: self._fleet.plan)
         self._keeper = ViewKeeper(state, adapter)
-        self._followers = _create_followers(state, adapter, duty, self._keeper)
+        self._followers = create_followers(state, adapter, duty, self._keeper)
         self._views = create_server(
             listen.fleet,
-            create_plain_handler(self._create_view_handler(), state.log),
+            create_plain_handler(
+                create_view_handler(state, self._followers), state.log
+            ),
         )
         self._loop = asyncio.new_event_loop()
         self._sync = ViewSync(
@@ -155,26 +147,6 @@
                 server.close()
         self._fleet.close(self._loop)
 
-    def _create_view_handler(self):
-        def handle(request, reply):
-            # A peer takes what it is given for all there is.
-            if request.path != VIEW_PATH or not self.state.knows_all:
-                reply.send(404, [], b"")
-                return
-            followers = self._followers
-            now = self.state.clock()
-            # Before the records: what came meanwhile makes them newer than this says.
-            age = self.state.freshness.get_age(now)
-            data = encode_view(
-                make_topic_view(followers.catalog, _get_offset(request, "catalog")),
-                make_topic_view(followers.instances, _get_offset(request, "instances")),
-                self.state.lapses.get_age(now),
-                -1.0 if age is None else age,
-            )
-            reply.send(200, [("Content-Type", "application/msgpack")], data)
-
-        return handle
-
     def _wait(self, deadline, is_done):
         while time.monotonic() < deadline and not is_done():
             time.sleep(_STOP_POLL)
@@ -263,50 +235,3 @@
         reply.send(200, [("Content-Type", metrics.CONTENT_TYPE)], data)
 
     return create_server(address, create_plain_handler(handle, state.log))
-
-
-def _get_offset(request, name):
-    query = parse_qs(request.target.partition("?")[2])
-    text = query.get(name, [""])[-1]
-    return int(text) if text.isdigit() else 0
-
-
-def _create_followers(state, adapter, duty, views):
-    def ignore(*_):
-        pass
-
-    state.instance_topic = adapter.instance_topic
-
-    def follow(
-        topic,
-        apply,
-        on_listed=ignore,
-        is_wanted=duty.reads_store,
-        on_heard=state.note_store_heard,
-    ):
-        return TopicFollower(
-            adapter.store,
-            topic,
-            apply,
-            on_listed,
-            state.log,
-            duty.get_poll,
-            state.clock,
-            is_wanted,
-            on_heard,
-            state.lapses.note_regained,
-            state.note_taken,
-            state.stalls.get_total,
-        )
-
-    return Followers(
-        follow(adapter.catalog_topic, views.apply_catalog, views.note_catalog),
-        follow(adapter.instance_topic, views.apply_instance, views.note_directory),
-        follow(
-            adapter.member_topic,
-            views.apply_member,
-            views.note_members,
-            duty.reads_members,
-            ignore,
-        ),
-    )
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reporter.py
@@ -0,0 +1,84 @@
+"""What this gateway says of itself in its reports, and what theirs say of its view."""
+
+from .freshness import Stamps, make_echo
+from .reports import VERSION, Report, get_digest
+from .sums import Totals
+
+_MEMBERS_A_REPORT = 10
+
+
+def make_own_totals(state, now):
+    """Return the `Totals` of this gateway alone."""
+    loads = state.loads.get_report()
+    own = Totals()
+    own.add(
+        {get_digest(name): row for name, row in loads.items()},
+        state.usage.get_amounts(now),
+        1,
+    )
+    return own
+
+
+class Reporter:
+    """Makes reports, each with a stamp that peers send back.
+
+    Parameters
+    ----------
+    number : int
+        This incarnation of the gateway.
+    rng : random.Random
+        Picks the members to tell of.
+    """
+
+    def __init__(self, state, number, rng):
+        self._state = state
+        self._number = number
+        self._stamps = Stamps(state.clock, number)
+        self._rng = rng
+        self._seq = 0
+
+    def make(self, role, now, totals=None, reads=(), with_members=False, host=None):
+        """Return a `Report`, with an echo where it goes to one ``host`` only."""
+        state = self._state
+        self._seq += 1
+        peer = state.members.peers.get(host)
+        # Before the ends: what comes meanwhile makes them newer than this says.
+        age = state.freshness.get_age(now)
+        return Report(
+            VERSION,
+            state.cfg.host,
+            state.cfg.domain,
+            self._number,
+            self._seq,
+            role,
+            state.catalog.version if state.catalog else 0,
+            state.directory_offset,
+            -1.0 if age is None else age,
+            state.stopping,
+            totals.gateways if totals else 0,
+            totals.loads if totals else {},
+            totals.usage if totals else {},
+            list(reads),
+            sorted(state.members.get_silent_domains(now)),
+            self._pick_members(now) if with_members else [],
+            state.members.own.capacity,
+            catalog_offset=state.catalog_offset,
+            stamp=self._stamps.make(),
+            echo=make_echo(peer.report if peer else None),
+        )
+
+    def note_view(self, report):
+        """Take in how old the view of a peer is that knows no more than we do."""
+        state = self._state
+        spoken_after = self._stamps.get_time(report.echo)
+        if spoken_after is None or report.store_age < 0.0:
+            return
+        known = state.catalog_offset >= report.catalog_offset
+        if known and state.directory_offset >= report.directory_offset:
+            state.freshness.note_peer(spoken_after - report.store_age)
+
+    def _pick_members(self, now):
+        members = self._state.members
+        live = [members.get(peer.host) for peer in members.get_live(now)]
+        picked = self._rng.sample(live, min(len(live), _MEMBERS_A_REPORT))
+        return [tuple(member) for member in [members.own, *picked]]
