--- a/packages/valeweir_gateway/tests/test_freshness.py
+++ b/packages/valeweir_gateway/tests/test_freshness.py
@@ -6,6 +6,7 @@
 from valeweir_gateway.reports import VERSION, Report, Role
 from valeweir_gateway.settings import Upstreams
 from valeweir_standins.wires import Wire
+from viewing import Clock
 
 NUMBER = 5_000_000_077
 # Seconds that a reader rests after records came.
@@ -16,14 +17,6 @@
     return StoreDuty(fleet._state, lambda: fleet.plan)
 
 
-class Clock:
-    def __init__(self, now=100.0):
-        self.now = now
-
-    def __call__(self):
-        return self.now
-
-
 class TestFreshness(unittest.TestCase):
     def setUp(self):
         self.freshness = Freshness()
--- /dev/null
+++ b/packages/valeweir_gateway/tests/viewing.py
@@ -0,0 +1,33 @@
+"""A gateway's state on a clock of its own, for tests of its view of the store."""
+
+from valeweir_gateway.settings import GatewaySettings, Listen, Store, Upstreams
+from valeweir_gateway.states import GatewayState
+
+
+class Clock:
+    def __init__(self, now=100.0):
+        self.now = now
+
+    def __call__(self):
+        return self.now
+
+
+class RecordingLog:
+    def __init__(self):
+        self.events = []
+
+    def note(self, event, failed=False, **fields):
+        self.events.append(event)
+
+
+def make_state(member, clock, leave_within=2.0):
+    host = member.address.rpartition(":")[0]
+    listen = Listen(f"{host}:1", f"{host}:2", f"{host}:3", member.address)
+    cfg = GatewaySettings(
+        member.host,
+        member.domain,
+        listen,
+        Store("10.9.9.9:1"),
+        upstreams=Upstreams(leave_within_ms=leave_within * 1000.0),
+    )
+    return GatewayState(cfg, RecordingLog(), clock=clock)
