--- a/packages/valeweir_gateway/src/valeweir_gateway/catching_up.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/catching_up.py
@@ -12,9 +12,9 @@
 # Where nothing is heard meanwhile the store is away, and an old view is better than
 # none.
 _LONGEST_WAIT = 1.0
-# For a gateway that reads the store itself: ten times the 20 ms in which one that was
-# paused had taken in the answer that lay unread in the kernel, or asked again.
-_READING_WAIT = 0.25
+# For a gateway that reads the store itself. What lies unread in the kernel is the first
+# change only; the others come with its next call, 0.2 s later, and a slow answer.
+_READING_WAIT = 0.5
 _CHECK = 0.02
 
 
@@ -23,14 +23,15 @@
     stall = state.stalls.get_last()
     if stall is None:
         return False
+    age = state.freshness.get_age(now)
+    wait = _LONGEST_WAIT
+    if age is None:
+        return False
     if state.members.is_mesh:
         # Who reads the store is told of changes at once, but while it stands still.
-        age, wait = stall.seconds, _READING_WAIT
-    else:
-        age, wait = state.freshness.get_age(now), _LONGEST_WAIT
-    if age is None or now - stall.ended >= wait:
-        return False
-    return age > get_longest_age(state.cfg)
+        age = min(age, stall.seconds)
+        wait = _READING_WAIT
+    return now - stall.ended < wait and age > get_longest_age(state.cfg)
 
 
 async def wait_for_view(state):
