--- a/packages/valeweir_gateway/src/valeweir_gateway/catching_up.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/catching_up.py
@@ -19,19 +19,19 @@
 
 
 def is_behind(state, now):
-    """Return whether the process stood still and its view may be too old for it."""
-    stall = state.stalls.get_last()
-    if stall is None:
-        return False
+    """Return whether the view is too old because the process stood still.
+
+    One that is too old without that, as the store is away, is not waited for: a crowded
+    gateway stands still for moments all the time.
+    """
     age = state.freshness.get_age(now)
-    wait = _LONGEST_WAIT
-    if age is None:
+    longest = get_longest_age(state.cfg)
+    if age is None or age <= longest:
         return False
     if state.members.is_mesh:
         # Who reads the store is told of changes at once, but while it stands still.
-        age = min(age, stall.seconds)
-        wait = _READING_WAIT
-    return now - stall.ended < wait and age > get_longest_age(state.cfg)
+        return state.stalls.get_lately(_READING_WAIT) > longest
+    return age - state.stalls.get_lately(_LONGEST_WAIT) <= longest
 
 
 async def wait_for_view(state):
--- a/packages/valeweir_gateway/src/valeweir_gateway/stalls.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stalls.py
@@ -3,22 +3,17 @@
 Time that passes unnoticed makes others look late or away, who are not.
 """
 
-from typing import NamedTuple
+import collections
 
 # Seconds between two ticks that are no stall: five times the longest interval of a
 # relay with many links.
 _LONGEST_GAP = 0.15
+# Seconds for which the end of a stall is kept.
+_KEPT = 2.0
 # Seconds from which a stall gets a line of its own in the log.
 _TOLD = 0.5
 
 
-class Stall(NamedTuple):
-    """A time without a tick: when it ended, on the steady clock, and its seconds."""
-
-    ended: float
-    seconds: float
-
-
 class Stalls:
     """Sums up the times without a tick; one thread ticks, any may ask.
 
@@ -33,7 +28,8 @@
         self._note = note
         self._ticked = None
         self._total = 0.0
-        self._last = None
+        # The (end, seconds) of those that ended lately.
+        self._ended = collections.deque()
 
     def tick(self):
         """Note that the process runs."""
@@ -42,7 +38,9 @@
         self._ticked = now
         self._total += stalled
         if stalled:
-            self._last = Stall(now, stalled)
+            self._ended.append((now, stalled))
+        while self._ended and now - self._ended[0][0] > _KEPT:
+            self._ended.popleft()
         if stalled > _TOLD:
             self._note("process stalled", failed=True, seconds=round(stalled, 3))
 
@@ -50,11 +48,14 @@
         """Return seconds stalled since the start, one that lasts included."""
         return self._total + self._get_current(self._clock())
 
-    def get_last(self):
-        """Return the last `Stall`, None without one; one that lasts ends now."""
+    def get_lately(self, within):
+        """Return seconds stalled in what ended in the last seconds, 2 at most.
+
+        One that lasts ends now.
+        """
         now = self._clock()
-        current = self._get_current(now)
-        return Stall(now, current) if current else self._last
+        ended = sum(row[1] for row in list(self._ended) if now - row[0] < within)
+        return ended + self._get_current(now)
 
     def _get_current(self, now):
         if self._ticked is None:
--- a/packages/valeweir_gateway/tests/test_stalls.py
+++ b/packages/valeweir_gateway/tests/test_stalls.py
@@ -38,6 +38,16 @@
         self.stalls.tick()
         self.assertAlmostEqual(self.stalls.get_total(), 3.0)
 
+    def test_those_that_ended_lately(self):
+        self.tick_after(0.0, 1.0, 0.02, 0.6)
+        self.assertAlmostEqual(self.stalls.get_lately(0.5), 0.6)
+        self.assertAlmostEqual(self.stalls.get_lately(1.0), 1.6)
+        self.now += 0.3
+        self.assertAlmostEqual(self.stalls.get_lately(0.1), 0.3)
+        self.stalls.tick()
+        self.tick_after(*[0.1] * 30)
+        self.assertEqual(self.stalls.get_lately(2.0), 0.0)
+
     def test_long_ones_are_told(self):
         self.tick_after(0.0, 0.4, 0.7)
         self.assertEqual(self.lines, [("process stalled", {"seconds": 0.7})])
--- a/packages/valeweir_gateway/tests/test_standstill.py
+++ b/packages/valeweir_gateway/tests/test_standstill.py
@@ -136,6 +136,7 @@
             "told late": lambda: self.wake_and_be_told(3.2, 0.5),
             "a view that was old before": self.wake_with_an_old_view,
             "reads the store for itself": self.wake_with_answers_unread,
+            "stood still twice": self.wake_for_a_moment,
         }
         for name, play in plays.items():
             with self.subTest(name):
@@ -158,6 +159,11 @@
         self.state.members = Members(self.state.members.own)
         self.wake_and_be_told(3.2, 0.3)
 
+    def wake_for_a_moment(self):
+        self.stand_still(1.5)
+        self.run_on(0.02)
+        self.wake_and_be_told(1.5, 0.1)
+
     def test_a_configuration_from_before_decides_nothing(self):
         self.stand_still(3.2)
         self.tell_in(0.1, self.replace_routes)
@@ -182,6 +188,7 @@
             "an outage of the store": lambda: self.run_on(9.0),
             "a short standstill": lambda: self.stand_still(0.5),
             "a standstill that is long over": self.stand_still_before_an_outage,
+            "an outage at a crowded gateway": self.stand_still_in_an_outage,
         }
         for name, play in cases.items():
             with self.subTest(name):
@@ -193,3 +200,7 @@
     def stand_still_before_an_outage(self):
         self.stand_still(3.2)
         self.run_on(2.0)
+
+    def stand_still_in_an_outage(self):
+        self.run_on(5.0)
+        self.stand_still(0.3)
