--- a/packages/valeweir_gateway/src/valeweir_gateway/answers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/answers.py
@@ -33,7 +33,8 @@
 class AnswerParser:
     """Turns the bytes of one connection into the events of one answer.
 
-    ``fault`` says what is wrong with the bytes, "" for nothing. After the end
+    ``fault`` says what is wrong with the bytes, "" for nothing, and ``broke_off``
+    whether it is that they end too soon. After the end
     nothing more is taken: such bytes belong to no request, and ``is_clean``
     tells whether there were none and the connection may go on.
     """
@@ -50,6 +51,7 @@
         self._extra = False
         self._keeps = False
         self.fault = ""
+        self.broke_off = False
 
     def expect(self, method):
         """Note the method of the request, since it decides on the body."""
@@ -140,6 +142,7 @@
             # Its length was not told: it ends with the connection.
             self._end(keeps=False)
             return
+        self.broke_off = True
         self._fail("the connection was closed")
 
     def _count_head(self, size):
--- a/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/jobs.py
@@ -1,10 +1,13 @@
 """A request on its way through a gateway."""
 
+from .fingerprints import get_fingerprint
+
 
 class Job:
     """One request on its way. Times are on the steady clock."""
 
     __slots__ = (
+        "_fingerprint",
         "account",
         "allowed",
         "answered",
@@ -59,3 +62,11 @@
         self.draw = 0.0
         # The warming instance that it may be sent to, see `slowstart`.
         self.permit = None
+        self._fingerprint = None
+
+    @property
+    def fingerprint(self):
+        """Return what tells that another try asks for the same, see `fingerprints`."""
+        if self._fingerprint is None:
+            self._fingerprint = get_fingerprint(self.account, self.request)
+        return self._fingerprint
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -2,6 +2,7 @@
 
 from .beliefs import describe_upstream, describe_view
 from .exchanges import Fault
+from .fingerprints import format_fingerprint
 from .repeating import MISDIRECTED
 from .shares import describe_standing
 
@@ -44,6 +45,7 @@
     state.log.note(
         "request served",
         id=job.id,
+        fingerprint=format_fingerprint(job.fingerprint),
         status=job.answered,
         route=job.route.name,
         account=job.account.name if job.account else None,
@@ -89,6 +91,10 @@
         fault=failure.fault.value,
         why=failure.text,
         status=failure.status,
+        broke_off=failure.broke_off,
+        route=job.route.name,
+        account=job.account.name if job.account else None,
+        fingerprint=format_fingerprint(job.fingerprint),
         upstream=instance_id,
         sends=job.sends,
         ejected_s=pause,
--- a/packages/valeweir_gateway/tests/test_exchanges.py
+++ b/packages/valeweir_gateway/tests/test_exchanges.py
@@ -238,6 +238,21 @@
                 self.assertEqual(result.fault, fault)
                 self.assertEqual(self.kept, [])
 
+    def test_connection_that_ends_too_soon_is_told_from_bad_bytes(self):
+        head = OK + b"Content-Length: 9\r\n\r\n"
+        cases = {
+            "closed before the head": ([], "close", True),
+            "closed in the body": ([head + b"body"], "close", True),
+            "reset in the body": ([head + b"body"], RESET, True),
+            "no answer at all": ([b"garbage\r\n\r\n"], "close", False),
+        }
+        for name, (parts, end, broke_off) in cases.items():
+            with self.subTest(name):
+                _, exchange = self.open(parts, end=end)
+                failure = self.run_exchange(exchange)
+                self.assertEqual(failure.fault, Fault.AMBIGUOUS)
+                self.assertEqual(failure.broke_off, broke_off)
+
     def test_time_is_up(self):
         upstream, exchange = self.open([], end="hold")
         result = self.run_exchange(exchange, make_call(seconds=0.1))
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_fingerprints.py
@@ -0,0 +1,41 @@
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+from valeweir_gateway.catalog import Account
+from valeweir_gateway.fingerprints import format_fingerprint, get_fingerprint
+from valeweir_gateway.requests import Headers, Request
+
+
+def make_request(target="/a/x", body=b"hello", headers=()):
+    return Request("POST", target, Headers(headers), body, True)
+
+
+def make_account(name):
+    return Account(name, (), None)
+
+
+class TestFingerprints(unittest.TestCase):
+    def test_what_makes_requests_the_same(self):
+        one = get_fingerprint(make_account("one"), make_request())
+        again = make_request(headers=[("Request-Id", "r2"), ("Deadline-Ms", "9")])
+        self.assertEqual(one, get_fingerprint(make_account("one"), again))
+        others = {
+            "account": get_fingerprint(make_account("two"), make_request()),
+            "no account": get_fingerprint(None, make_request()),
+            "path": get_fingerprint(make_account("one"), make_request("/a/y")),
+            "body": get_fingerprint(make_account("one"), make_request(body=b"helo")),
+        }
+        for name, other in others.items():
+            with self.subTest(name):
+                self.assertNotEqual(one, other)
+
+    @given(st.text(max_size=6), st.text("/ab", max_size=6), st.binary(max_size=6))
+    def test_parts_do_not_run_into_each_other(self, name, target, body):
+        account = make_account(f"{name}{target}")
+        joined = get_fingerprint(account, make_request("", body))
+        apart = get_fingerprint(make_account(name), make_request(target, body))
+        self.assertEqual(joined == apart, target == "")
+
+    def test_as_text(self):
+        self.assertEqual(format_fingerprint(255), "00000000000000ff")
