--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -161,7 +161,7 @@
     left = job.deadline + ANSWER_MARGIN - state.clock()
     added = [
         (names.deadline, str(max(1, int(left * 1000)))),
-        (names.expected_instance, choice.instance.id),
+        (names.expected_instance, choice.instance.announced_id),
         (names.account, job.account.name if job.account else None),
         (names.fetch_from, choice.source.address if choice.source else None),
     ]
--- a/packages/valeweir_gateway/src/valeweir_gateway/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/directory.py
@@ -6,8 +6,11 @@
 
 
 class Instance(NamedTuple):
-    """One run of an upstream.
+    """One life of an upstream, from a start of its process to its end.
 
+    ``id`` is its own: what is believed of caches, load and condition, its connections
+    and its place in reports go by it, and so end with the life. ``announced_as`` is the
+    id in its records, which a later life may have too; empty where both are the same.
     ``warming`` is how much longer it warms up, in seconds, as of its record.
     """
 
@@ -18,6 +21,17 @@
     slots: int
     ready: bool
     warming: float = 0.0
+    announced_as: str = ""
+
+    @property
+    def announced_id(self):
+        """Return the id that it answers to."""
+        return self.announced_as or self.id
+
+
+def make_life_id(announced_id, born):
+    """Return the id of the life that began at ``born``, None where that is not said."""
+    return announced_id if born is None else f"{announced_id}@{born}"
 
 
 class Noted(NamedTuple):
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -180,6 +180,7 @@
             gauges.declared.set(state.catalog.limits.tokens_per_second)
         gauges.left_out.set(state.log.left_out)
         gauges.bad_records.set(state.bad_records)
+        gauges.bad_keys.set(state.bad_keys)
 
     def _drop_old_suspects(self):
         state = self.state
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -161,7 +161,10 @@
     def finish(self, work, now):
         """Note the end of a request, whatever it was."""
         with self._lock:
-            load = self.get(work.instance_id, now)
+            load = self._by_id.get(work.instance_id)
+            if load is None:
+                # The instance is gone.
+                return
             load.active = max(0, load.active - 1)
             if not work.is_read:
                 self._note_read(work, load)
--- a/packages/valeweir_gateway/src/valeweir_gateway/members.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/members.py
@@ -1,11 +1,13 @@
 """Which other gateways there are, and what each reported last."""
 
+import math
 import threading
 from typing import NamedTuple
 
 import xxhash
 
 from .reports import Role
+from .sockets import is_address
 
 _SILENT_AFTER = 1.5
 _FORGET_AFTER = 30.0
@@ -27,6 +29,17 @@
     capacity: float = 1.0
 
 
+def parse_member(host, data):
+    """Return the `Member` in the bytes of a record; raises ValueError."""
+    domain, address, capacity = data.decode("latin-1").split(" ")
+    member = Member(host, domain, address, float(capacity))
+    if not math.isfinite(member.capacity) or member.capacity <= 0.0:
+        raise ValueError(f"capacity {capacity[:20]}")
+    if not is_address(address):
+        raise ValueError(f"no address: {address[:40]}")
+    return member
+
+
 class Peer(NamedTuple):
     """The latest report of one gateway; ``heard`` is on the steady clock."""
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -91,6 +91,7 @@
         )
         self.left_out = self._gauge("log_lines_left_out", "Log lines above the rate")
         self.bad_records = self._gauge("bad_records", "Store records not decoded")
+        self.bad_keys = self._gauge("bad_keys", "Keys whose newest record is bad")
 
     def render(self):
         """Return the metrics as text."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/sockets.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/sockets.py
@@ -1,11 +1,13 @@
 """Options that every TCP socket of the gateway gets."""
 
+import ipaddress
 import select
 import socket
 
 USER_TIMEOUT_MS = 1500
 _KEEPALIVE_SECONDS = 1
 _KEEPALIVE_PROBES = 2
+_PORTS = 1 << 16
 
 
 def prepare_socket(sock):
@@ -32,3 +34,13 @@
     """Return a new connected socket for a thread that may wait; raises OSError."""
     host, _, port = address.rpartition(":")
     return socket.create_connection((host, int(port)), timeout)
+
+
+def is_address(text):
+    """Return whether a text is ``IP:PORT``, of IPv4."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return port.isascii() and port.isdigit() and 0 < int(port[:6]) < _PORTS
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -61,6 +61,7 @@
         self.catalog_known = False
         self.evacuations = Evacuations()
         self.bad_records = 0
+        self.bad_keys = 0
         self.loads = Loads()
         self.reads = Reads()
         self.intake = Intake()
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -6,9 +6,14 @@
 from .adapters import BadRecord
 from .directory import Noted
 from .fingerprints import parse_fingerprint
-from .members import Member
+from .members import parse_member
 from .quarantine import decode_record
 
+# Keys with bad records that are known, and the characters of a line's texts: anybody
+# may write there.
+_MOST_BAD = 1_000
+_LONGEST_TEXT = 120
+
 
 class ViewKeeper:
     """Applies records; what cannot be decoded is counted and changes nothing."""
@@ -16,7 +21,10 @@
     def __init__(self, state, adapter):
         self._state = state
         self._adapter = adapter
+        # Keys whose newest record cannot be used.
         self._bad = set()
+        # The id of the life that a key of the instances topic stands for.
+        self._lives = {}
         # Records come from the store's reader and from peers; timers end lapses.
         self._lock = threading.Lock()
 
@@ -32,6 +40,7 @@
         except BadRecord as exc:
             self._note_bad("configuration", entry.offset, exc)
             return
+        self._note_sound("configuration")
         if not self._state.put_catalog(catalog):
             return
         self._state.log.note(
@@ -112,22 +121,22 @@
             for instance_id in self._state.lapses.take_expired(self._state.clock()):
                 old = self._state.directory.remove(instance_id)
                 if old is not None:
-                    self._drop(old, self._state.directory_offset)
+                    self._drop(old, self._state.directory_offset, "upstream gone")
 
     def _remove(self, entry):
         state = self._state
         now = state.clock()
-        known = state.directory.by_id.get(entry.key)
+        self._note_sound(entry.key)
+        known = self._find(entry.key)
         if known is None:
             return
         until = state.lapses.hold(known, now)
         if until is None:
-            state.directory.remove(entry.key)
-            self._drop(known, entry.offset)
+            self._take_away(known, entry.offset, "upstream gone")
             return
         state.log.note(
             "upstream lapsed",
-            upstream=entry.key,
+            upstream=known.id,
             offset=entry.offset,
             store_back_s=round(state.lapses.get_age(now), 3),
             used_for_s=round(until - now, 3),
@@ -139,7 +148,15 @@
             instance = self._adapter.decode_instance(entry.key, entry.value)
         except BadRecord as exc:
             self._note_bad(entry.key, entry.offset, exc)
+            self._set_aside(entry)
             return
+        self._note_sound(entry.key)
+        earlier = self._find(entry.key)
+        if earlier is not None and earlier.id != instance.id:
+            # It holds and knows nothing of before.
+            state.lapses.release(earlier.id)
+            self._take_away(earlier, entry.offset, "upstream restarted")
+        self._lives[entry.key] = instance.id
         old = state.directory.by_id.get(instance.id)
         held = state.lapses.release(instance.id)
         if old == instance and not held:
@@ -161,16 +178,26 @@
                 lapsed=held,
             )
 
+    def _set_aside(self, entry):
+        """Send nothing more to an instance whose record another writer has spoilt.
+
+        What runs there ends; a sound record brings it back.
+        """
+        known = self._find(entry.key)
+        if known is not None:
+            self._state.lapses.release(known.id)
+            self._take_away(known, entry.offset, "upstream record spoilt")
+
     def apply_member(self, entry):
         """Take in a record of the members topic: where a gateway listens."""
         if entry.value is None:
             return
         try:
-            domain, address, capacity = entry.value.decode("latin-1").split(" ")
-            member = Member(entry.key, domain, address, float(capacity))
+            member = parse_member(entry.key, entry.value)
         except ValueError as exc:
             self._note_bad(entry.key, entry.offset, exc)
             return
+        self._note_sound(entry.key)
         self._state.members.add(member)
 
     def apply_quarantine(self, entry):
@@ -197,17 +224,39 @@
         """Note that every gateway in the store's list is known."""
         self._state.members_known = True
 
-    def _drop(self, instance, offset):
+    def _find(self, key):
+        """Return the instance that a key of the instances topic stands for, or None."""
+        instance_id = self._lives.get(key)
+        return self._state.directory.by_id.get(instance_id)
+
+    def _take_away(self, instance, offset, event):
+        self._state.directory.remove(instance.id)
+        self._drop(instance, offset, event)
+
+    def _drop(self, instance, offset, event):
         state = self._state
+        self._lives.pop(instance.announced_id, None)
         state.connections.drop(instance.id)
         state.loads.forget(instance.id)
         state.slow_start.forget(instance.id)
-        state.log.note("upstream gone", upstream=instance.id, offset=offset)
+        state.log.note(event, upstream=instance.id, offset=offset)
 
     def _note_bad(self, what, offset, exc):
+        """Count a record that cannot be used, with one line until it is sound again."""
         self._state.bad_records += 1
-        if what not in self._bad:
-            self._bad.add(what)
-            self._state.log.note(
-                "bad record", failed=True, key=what, offset=offset, why=str(exc)
-            )
+        if what in self._bad or len(self._bad) >= _MOST_BAD:
+            return
+        self._bad.add(what)
+        self._state.bad_keys = len(self._bad)
+        self._state.log.note(
+            "bad record",
+            failed=True,
+            key=what[:_LONGEST_TEXT],
+            offset=offset,
+            why=str(exc)[:_LONGEST_TEXT],
+        )
+
+    def _note_sound(self, what):
+        if what in self._bad:
+            self._bad.discard(what)
+            self._state.bad_keys = len(self._bad)
