--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -16,6 +16,7 @@
 from .forwarding import create_handler
 from .keeping import QuarantineStore
 from .loops import create_loop
+from .operating import QUARANTINE_PATH, create_quarantine_handler
 from .publishing import Publisher
 from .servers import create_plain_handler, create_server
 from .sockets import prepare_socket
@@ -57,7 +58,7 @@
         self._views = create_server(
             listen.fleet,
             create_plain_handler(
-                create_view_handler(state, self._followers), state.log
+                _create_fleet_handler(state, self._followers), state.log
             ),
         )
         self._loop = create_loop(state.clock)
@@ -226,6 +227,20 @@
     return Gateway(state, adapter, clients, ready)
 
 
+def _create_fleet_handler(state, followers):
+    """Return the handler for peers and operators."""
+    give_view = create_view_handler(state, followers)
+    serve_operators = create_quarantine_handler(state)
+
+    def handle(request, reply):
+        if request.path.startswith(QUARANTINE_PATH):
+            serve_operators(request, reply)
+        else:
+            give_view(request, reply)
+
+    return handle
+
+
 def _create_ready_handler(state, clients, path):
     def handle(request, reply):
         if request.path != path:
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operating.py
@@ -0,0 +1,47 @@
+"""What operators may ask a gateway, over the HTTP interface of the fleet."""
+
+import msgspec
+
+from . import blaming
+from .fingerprints import format_fingerprint, parse_fingerprint
+
+QUARANTINE_PATH = "/fleet/quarantine"
+
+
+def create_quarantine_handler(state):
+    """Return the handler that lists requests held back, and lets one go.
+
+    ``GET`` of the path answers a list, ``DELETE`` of the path and a fingerprint lets
+    that request go at every gateway: 204, or 404 where it is not held.
+    """
+
+    def handle(request, reply):
+        if request.method == "DELETE":
+            released = _let_go(state, request.path.removeprefix(f"{QUARANTINE_PATH}/"))
+            reply.send(204 if released else 404, [], b"")
+            return
+        if request.method != "GET" or request.path != QUARANTINE_PATH:
+            reply.send(404, [], b"")
+            return
+        now = state.clock()
+        rows = state.quarantine.get_all().items()
+        reply.send_json(200, [_describe(key, held, now) for key, held in rows])
+
+    return handle
+
+
+def _let_go(state, text):
+    try:
+        fingerprint = parse_fingerprint(text)
+    except ValueError:
+        return False
+    return blaming.let_go(state, fingerprint, "operator")
+
+
+def _describe(fingerprint, held, now):
+    return {
+        "fingerprint": format_fingerprint(fingerprint),
+        "held_for_s": round(now - held.since, 1),
+        "next_trial_s": None if held.due is None else round(held.due - now, 1),
+        **msgspec.structs.asdict(held.record),
+    }
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_notices.py
@@ -0,0 +1,129 @@
+"""What one gateway finds out of a request, all know in time: also through relays."""
+
+import random
+import unittest
+
+from valeweir_gateway import blaming
+from valeweir_gateway.blaming import Notice
+from valeweir_gateway.crashes import Count, Crash
+from valeweir_gateway.quarantine import QuarantineRecord
+from valeweir_gateway.reporter import get_notices
+from valeweir_gateway.reports import MAX_BYTES, decode_report
+from valeweir_standins.wires import Wire
+from viewing import make_state
+
+DEADLY = 2**63 + 9
+# Seconds that the fleet has after the third upstream has ended.
+IN_TIME = 3.0
+
+
+class NullStore:
+    def keep(self, fingerprint, observed):
+        """Have no store."""
+
+    def forget(self, fingerprint):
+        """Have no store."""
+
+
+def create_state(member, clock):
+    state = make_state(member, clock)
+    state.quarantine_store = NullStore()
+    return state
+
+
+class TestNotices(unittest.TestCase):
+    def setUp(self):
+        self.wire = Wire(3, 120, create_state)
+        self.wire.introduce()
+        self.wire.run(2.0)
+        self.states = list(self.wire.states.values())
+
+    def end_upstream(self, state, name):
+        """Let an upstream end under the request, 50 ms after it was sent there."""
+        now = self.wire.now
+        crash = Crash(name, now - 0.05, now)
+        state.notices.append(Notice(DEADLY, crash))
+        blaming.take_notice(state, Notice(DEADLY, crash), now)
+
+    def get_counts(self):
+        return {state.suspects.get_count(DEADLY) for state in self.states}
+
+    def test_one_end_seen_by_two_gateways_is_one(self):
+        self.end_upstream(self.states[3], 1)
+        self.end_upstream(self.states[50], 1)
+        self.wire.run(1.0)
+        self.assertEqual(self.get_counts(), {Count(1, 1)})
+
+    def test_held_by_all_gateways(self):
+        """Three upstreams end at the request of three gateways, far from each other."""
+        for number, state in enumerate(self.states[7::40]):
+            self.end_upstream(state, number)
+            self.wire.run(0.5)
+        self.wire.run(IN_TIME - 0.5)
+        held = sum(DEADLY in state.quarantine for state in self.states)
+        self.assertEqual(held, len(self.states))
+
+    def test_where_a_tenth_of_all_datagrams_is_lost(self):
+        """Nine in ten know by the notices alone; the store's record tells the rest."""
+        rng = random.Random(1)
+        self.wire.is_cut = lambda sender, target: rng.random() < 0.1
+        for number, state in enumerate(self.states[7::40]):
+            self.end_upstream(state, number)
+            self.wire.run(0.5)
+        held = sum(DEADLY in state.quarantine for state in self.states)
+        self.assertGreater(held, 0.9 * len(self.states))
+
+    def test_acquitted_at_all_gateways(self):
+        self.test_held_by_all_gateways()
+        state = self.states[20]
+        blaming.take_notice(state, Notice(DEADLY, None), self.wire.now)
+        state.notices.append(Notice(DEADLY, None))
+        self.wire.run(1.0)
+        self.assertEqual(self.get_counts(), {Count(0, 0)})
+        self.assertFalse(any(DEADLY in state.quarantine for state in self.states))
+
+    def test_what_all_is_told_when_an_upstream_ends_that_ran_many(self):
+        """64 requests: what the busiest gateway sends for them, besides the rest."""
+        before = {name: fleet.sent_bytes for name, fleet in self.wire.fleets.items()}
+        self.wire.run(2.0)
+        calm = max(
+            fleet.sent_bytes - before[name] for name, fleet in self.wire.fleets.items()
+        )
+        before = {name: fleet.sent_bytes for name, fleet in self.wire.fleets.items()}
+        state = self.states[7]
+        for number in range(64):
+            now = self.wire.now
+            crash = Crash(1, now - 0.1, now)
+            blaming.take_notice(state, Notice(number, crash), now)
+            state.notices.append(Notice(number, crash))
+        self.wire.run(2.0)
+        busy = max(
+            fleet.sent_bytes - before[name] for name, fleet in self.wire.fleets.items()
+        )
+        known = [len(state.suspects) for state in self.states]
+        self.assertEqual(set(known), {64})
+        # 64 notices of 24 bytes, told twice, to the 24 links of a relay at most.
+        self.assertLess(busy - calm, 64 * 24 * 2 * 24 + 40_000)
+
+    def test_datagrams_keep_their_size(self):
+        state = self.states[0]
+        notices = [Notice(n, Crash(n, 1.0, 1.5)) for n in range(2**60, 2**60 + 12)]
+        fleet = next(iter(self.wire.fleets.values()))
+        report = fleet._reporter.make("a", self.wire.now, notices=notices)
+        sent = []
+        fleet._sock.sendto = lambda data, to: sent.append(data)
+        fleet._send_to("10.0.0.1:4", report)
+        self.assertLessEqual(max(map(len, sent)), MAX_BYTES)
+        got = get_notices(decode_report(sent[0]), self.wire.now)
+        self.assertEqual([row.fingerprint for row in got], [n[0] for n in notices])
+        for row in got:
+            self.assertAlmostEqual(row.crash.sent, 1.0, 2)
+            self.assertAlmostEqual(row.crash.ended, 1.5, 2)
+        self.assertEqual(len(state.suspects), 0)
+
+    def test_a_record_begins_and_ends_it(self):
+        state = self.states[0]
+        blaming.take_record(state, DEADLY, QuarantineRecord(), self.wire.now)
+        self.assertIn(DEADLY, state.quarantine)
+        blaming.take_record(state, DEADLY, None, self.wire.now)
+        self.assertNotIn(DEADLY, state.quarantine)
