--- a/packages/valeweir_cli/src/valeweir_cli/explain.py
+++ b/packages/valeweir_cli/src/valeweir_cli/explain.py
@@ -10,6 +10,15 @@
 from .losses import GROUPS, count_by_time, find_losses, tabulate
 
 _BAD_INPUT = 2
+# Events that say why a request is sent no more, whichever try of it they name.
+_OF_ALL_TRIES = frozenset(
+    (
+        "upstream ended under request",
+        "request quarantined",
+        "trial sent",
+        "request let go",
+    )
+)
 _HIDDEN = ("t", "time", "event", "host", "id", "left_out")
 
 
@@ -63,7 +72,7 @@
 
 
 def _show_request(reading, request_id, as_json):
-    lines = [line for line in reading.lines if line.request_id == request_id]
+    lines = _find_lines(reading.lines, request_id)
     if not lines:
         _fail(f"{request_id}: neither a file nor the id of a request in the logs")
     if as_json:
@@ -79,6 +88,19 @@
     _print_remarks(reading)
 
 
+def _find_lines(lines, request_id):
+    """Return the lines of a request, and what other tries of the same one led to."""
+    own = [line for line in lines if line.request_id == request_id]
+    same = {line.fields.get("fingerprint") for line in own} - {None}
+    return [
+        line
+        for line in lines
+        if line.request_id == request_id
+        or line.event in _OF_ALL_TRIES
+        and line.fields.get("fingerprint") in same
+    ]
+
+
 def _print_json(reading, losses):
     tables = {
         group: [row._asdict() for row in tabulate(losses, group)] for group in GROUPS
--- a/packages/valeweir_cli/tests/test_explain.py
+++ b/packages/valeweir_cli/tests/test_explain.py
@@ -140,6 +140,26 @@
         self.assertIn("h-1  request refused", rows[0])
         self.assertIn("+1000.0 ms  h-2  request served", rows[1])
 
+    def test_why_a_request_is_sent_no_more(self):
+        """Tries of the same request at other gateways are the cause."""
+        lines = [
+            ("upstream ended under request", "h-1", {"id": "q1", "fingerprint": "ab"}),
+            ("request quarantined", "h-2", {"fingerprint": "ab"}),
+            ("request quarantined", "h-2", {"fingerprint": "cd"}),
+            ("request served", "h-1", {"id": "q3", "fingerprint": "ab"}),
+            ("request refused", "h-2", {"id": "q2", "fingerprint": "ab"}),
+        ]
+        self.path.write_text(
+            "\n".join(
+                json.dumps(
+                    {"t": 9.0, "time": float(n), "event": event, "host": host, **more}
+                )
+                for n, (event, host, more) in enumerate(lines)
+            )
+        )
+        rows = json.loads(self.run_explain(self.path, "q2", "--json").output)
+        self.assertEqual([row["at"] for row in rows], [0.0, 1.0, 4.0])
+
     def test_json(self):
         result = self.run_explain(self.path, "--json")
         value = json.loads(result.output)
