--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -27,8 +27,8 @@
         note_failure(state, job, choice, sock)
         return sock
     now = state.clock()
-    held = is_held(state, job) or is_behind(state, now)
-    if held or not may_receive(state, job, instance, now):
+    must_wait = is_held(state, job) or is_behind(state, now)
+    if must_wait or not may_receive(state, job, instance, now):
         sock.close()
         return Failure(Fault.NOT_SENT, "the instance takes no more for now")
     exchange = Exchange(
--- a/packages/valeweir_gateway/src/valeweir_gateway/blaming.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/blaming.py
@@ -144,18 +144,6 @@
         )
 
 
-def _set_aside(state, crash, now):
-    """Send nothing for a while to an upstream that was seen to end.
-
-    Without it each gateway found out by requests of its own, 8 to 18 in all.
-    """
-    instance_id = state.directory.get_id(crash.instance)
-    if instance_id is None or now - crash.ended > _RECENT:
-        return
-    if state.loads.is_usable(instance_id, now):
-        state.loads.note_error(instance_id, now, severe=True)
-
-
 def let_go(state, fingerprint, why):
     """Let a request go fleet-wide; return whether it was held."""
     state.suspects.acquit(fingerprint, state.clock())
@@ -168,6 +156,18 @@
     return True
 
 
+def _set_aside(state, crash, now):
+    """Send nothing for a while to an upstream that was seen to end.
+
+    Without it each gateway found out by requests of its own, 8 to 18 in all.
+    """
+    instance_id = state.directory.get_id(crash.instance)
+    if instance_id is None or now - crash.ended > _RECENT:
+        return
+    if state.loads.is_usable(instance_id, now):
+        state.loads.note_error(instance_id, now, severe=True)
+
+
 def _is_to_blame(state, fingerprint, count, now):
     blamed = state.quarantine.get_all().keys()
     return is_to_blame(count, state.suspects.count_others(fingerprint, blamed, now))
--- a/packages/valeweir_gateway/src/valeweir_gateway/repeating.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/repeating.py
@@ -32,8 +32,8 @@
 def _ended_others(state, job):
     """Return whether upstreams ended under it more than once.
 
-    One in fifty of those that only ran beside such a request is taken for it, and its
-    client may still try again; to repeat it unasked could cost a third upstream.
+    To repeat it unasked could cost a third. The few that only ran there both times are
+    told the truth, and their clients may try again.
     """
     if not state.suspects:
         return False
