--- a/packages/valeweir_gateway/src/valeweir_gateway/blaming.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/blaming.py
@@ -9,7 +9,7 @@
 
 from .crashes import Crash
 from .fingerprints import format_fingerprint
-from .quarantine import QuarantineRecord, is_to_blame
+from .quarantine import QuarantineRecord, is_surely_to_blame, is_to_blame
 from .refusals import Refusal
 from .reports import get_digest
 
@@ -19,6 +19,8 @@
 # Seconds after the end of an upstream in which a peer's word of it counts; it may be
 # back later.
 _RECENT = 0.7
+# Characters of a path in a record.
+_LONGEST_TARGET = 200
 
 
 class Notice(NamedTuple):
@@ -94,9 +96,8 @@
         runs=count.runs,
         **_name(job),
     )
-    if _is_to_blame(state, job.fingerprint, count, broke):
-        record = _make_record(state, count, job)
-        _hold(state, job.fingerprint, record, broke, observed=True)
+    if is_to_blame(count):
+        _hold(state, job.fingerprint, count, broke, job)
 
 
 def note_answered(state, job):
@@ -122,8 +123,8 @@
         return state.quarantine.remove(fingerprint) or suspect
     _set_aside(state, crash, now)
     count = state.suspects.add(fingerprint, crash, now)
-    if count is not None and _is_to_blame(state, fingerprint, count, now):
-        _hold(state, fingerprint, _make_record(state, count), now, observed=False)
+    if count is not None and is_to_blame(count):
+        _hold(state, fingerprint, count, now)
     return count is not None
 
 
@@ -132,6 +133,7 @@
     text = format_fingerprint(fingerprint)
     if record is None:
         state.suspects.acquit(fingerprint, now)
+        state.quarantine_store.note_gone(fingerprint)
         if state.quarantine.remove(fingerprint):
             state.log.note("request let go", why="record gone", fingerprint=text)
         return
@@ -144,18 +146,41 @@
         )
 
 
-def let_go(state, fingerprint, why):
-    """Let a request go fleet-wide; return whether it was held."""
+def let_go(state, fingerprint):
+    """Let a request go by an operator's word; return whether it was held."""
     state.suspects.acquit(fingerprint, state.clock())
     if not state.quarantine.remove(fingerprint):
         return False
     state.notices.append(Notice(fingerprint, None))
     state.quarantine_store.forget(fingerprint)
     text = format_fingerprint(fingerprint)
-    state.log.note("request let go", why=why, fingerprint=text)
+    state.log.note("request let go", why="operator", fingerprint=text)
     return True
 
 
+def end_old(state):
+    """Let those go whose time is over; other gateways do the same by themselves."""
+    now = state.clock()
+    state.suspects.drop_old(now)
+    for fingerprint in state.quarantine.find_old(now):
+        state.quarantine.remove(fingerprint)
+        state.quarantine_store.forget(fingerprint, observed=False)
+        text = format_fingerprint(fingerprint)
+        state.log.note("request let go", why="time is over", fingerprint=text)
+
+
+def _set_aside(state, crash, now):
+    """Send nothing for a while to an upstream that was seen to end.
+
+    Without it each gateway found out by requests of its own, 8 to 18 in all.
+    """
+    instance_id = state.directory.get_id(crash.instance)
+    if instance_id is None or now - crash.ended > _RECENT:
+        return
+    if state.loads.is_usable(instance_id, now):
+        state.loads.note_error(instance_id, now, severe=True)
+
+
 def _set_aside(state, crash, now):
     """Send nothing for a while to an upstream that was seen to end.
 
@@ -173,25 +198,26 @@
     return is_to_blame(count, state.suspects.count_others(fingerprint, blamed, now))
 
 
-def _hold(state, fingerprint, record, now, observed):
+def _hold(state, fingerprint, count, now, job=None):
+    """Hold a request back; ``job`` is its try here, if an upstream ended under that."""
+    blamed = state.quarantine.get_all().keys()
+    others = state.suspects.count_others(fingerprint, blamed, now)
+    record = QuarantineRecord(
+        count.upstreams,
+        count.runs,
+        is_sure=is_surely_to_blame(count, others),
+        account=job.account.name if job and job.account else None,
+        target=job.request.target[:_LONGEST_TARGET] if job else "",
+        host=state.cfg.host,
+    )
     if state.quarantine.put(fingerprint, record, now):
         state.log.note(
             "request quarantined",
-            source="observed" if observed else "peers",
+            source="observed" if job else "peers",
             fingerprint=format_fingerprint(fingerprint),
             **_get_fields(record),
         )
-    state.quarantine_store.keep(fingerprint, observed)
-
-
-def _make_record(state, count, job=None):
-    return QuarantineRecord(
-        count.upstreams,
-        count.runs,
-        account=job.account.name if job and job.account else None,
-        target=job.request.target[:200] if job else "",
-        host=state.cfg.host,
-    )
+    state.quarantine_store.keep(fingerprint, observed=job is not None)
 
 
 def _get_fields(record):
@@ -199,6 +225,7 @@
         "ended_upstreams": record.upstreams,
         "runs": record.runs,
         "trials": record.trials,
+        "is_sure": record.is_sure,
         "account": record.account,
     }
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -92,7 +92,9 @@
         self.timers.subscribe("lapses", _LAPSE_CHECK, self._keeper.end_lapses)
         self.timers.subscribe("warm-ups", _LAPSE_CHECK, self._keeper.end_warm_ups)
         self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
-        self.timers.subscribe("quarantine", _STALE_CHECK, self._drop_old_suspects)
+        self.timers.subscribe(
+            "quarantine", _STALE_CHECK, lambda: blaming.end_old(state)
+        )
         self.timers.subscribe("caches", _CACHE_CHECK, self._scout.find_new)
         self.timers.subscribe("domains", PROBE_INTERVAL, self._prober.probe)
         self.timers.subscribe("limits", _STALE_CHECK, self._apply_limits)
@@ -184,13 +186,6 @@
         gauges.bad_records.set(state.bad_records)
         gauges.bad_keys.set(state.bad_keys)
 
-    def _drop_old_suspects(self):
-        state = self.state
-        now = state.clock()
-        state.suspects.drop_old(now)
-        for fingerprint in state.quarantine.find_old(now):
-            blaming.let_go(state, fingerprint, "time is over")
-
     def _apply_limits(self):
         catalog = self.state.catalog
         if catalog is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/keeping.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/keeping.py
@@ -62,19 +62,30 @@
         """Have a quarantine written; ``observed`` where this gateway saw the end.
 
         Others write it too, a while later and only where it is still missing: the
-        one that saw it may be gone. Those that take their view from a relay do not,
-        since hundreds may.
+        one that saw it may be gone.
         """
+        self._schedule(fingerprint, observed)
+
+    def forget(self, fingerprint, observed=True):
+        """Have the record of a request that was let go removed, as `keep` writes it."""
+        with self._lock:
+            self._due.pop(fingerprint, None)
+        self._schedule(fingerprint, observed)
+
+    def note_gone(self, fingerprint):
+        """Note that the store holds no record: there is none to remove."""
+        if self._state.quarantine.get(fingerprint) is None:
+            with self._lock:
+                self._due.pop(fingerprint, None)
+
+    def _schedule(self, fingerprint, observed):
+        """Write soon; those that take their view from a relay, hundreds, do not."""
         if not observed and not self._state.reads_store:
             return
         wait = 0.0 if observed else self._state.rng.uniform(*_OTHERS_WAIT)
+        due = self._state.clock() + wait
         with self._lock:
-            self._due.setdefault(fingerprint, self._state.clock() + wait)
-
-    def forget(self, fingerprint):
-        """Have the record of a request that was let go removed."""
-        with self._lock:
-            self._due[fingerprint] = self._state.clock()
+            self._due[fingerprint] = min(due, self._due.get(fingerprint, due))
 
     def write_due(self, now):
         """Write what is due; what fails is tried again."""
@@ -115,8 +126,8 @@
         if known.record.is_sure:
             # Without the store nobody knows who else would try.
             return False
-        # Else an outage of the store and of a failure domain at once would keep
-        # requests back that only ran there.
+        # Else an outage of the store would keep requests back that only ran where
+        # upstreams ended.
         state.quarantine.put(fingerprint, known.record.count_trial(), state.clock())
         return True
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/operating.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operating.py
@@ -35,7 +35,7 @@
         fingerprint = parse_fingerprint(text)
     except ValueError:
         return False
-    return blaming.let_go(state, fingerprint, "operator")
+    return blaming.let_go(state, fingerprint)
 
 
 def _describe(fingerprint, held, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine.py
@@ -11,11 +11,12 @@
 
 import msgspec
 
-# Upstreams that may end under a request before it is sent no more. With one, each that
-# ran beside a crash would be held. With three, where an upstream of six is killed each
-# 0.7 s for other reasons, one request in fifty of those tried up to four times would
-# be (30 simulated minutes); one more there, and none is before its last try.
+# Upstreams that may end under a request before it is held. With one, each that ran
+# beside a crash would be.
 MOST_ENDED = 3
+# How many more make it sure where upstreams end without it as well. Where one of six is
+# killed each 0.7 s for other reasons, one request in fifty of those tried up to four
+# times has seen three ends (30 simulated minutes).
 _MORE_ENDED = 1
 # Sends one after the other that tell a request from others that ran at the same time.
 _LEAST_RUNS = 2
@@ -25,11 +26,13 @@
 _WAIT_FACTOR = 4.0
 # Trials without a whole answer, then only an operator lets the request go.
 _MOST_TRIALS = 2
-# Seconds until another trial where one brought nothing, of requests that were sent at
-# the same time only; longer than a stream's first event takes.
+# Where it is not sure a trial goes out at once, and so many seconds later another if
+# that one brought nothing; longer than a stream's first event takes.
 _TRIAL_TIME = 5.0
-# Seconds after which a quarantine ends by itself, so that records do not pile up.
+# Seconds after which a quarantine ends by itself, so that records do not pile up, and
+# one that is not sure: what has ended is remembered for longer.
 _LONGEST = 86_400.0
+_LONGEST_UNSURE = 60.0
 # Requests held at a time; each took three upstreams, or two at least.
 _MOST_HELD = 1_000
 
@@ -63,6 +66,7 @@
     """A quarantine as it stands in the store, as JSON.
 
     ``upstreams`` ended in ``runs`` sends after each other; ``trials`` were made since.
+    It ``is_sure`` where nothing else may have ended them.
     ``account``, ``target`` and ``host``, the gateway that wrote it, are for operators,
     as is ``at``, the time of day in seconds.
     """
@@ -70,16 +74,12 @@
     upstreams: int = MOST_ENDED
     runs: int = _LEAST_RUNS
     trials: int = 0
+    is_sure: bool = True
     account: str | None = None
     target: str = ""
     host: str = ""
     at: float = 0.0
 
-    @property
-    def is_sure(self):
-        """Return whether it ended upstreams in sends after each other."""
-        return self.runs >= _LEAST_RUNS
-
     def count_trial(self):
         """Return the record with one trial more."""
         return msgspec.structs.replace(self, trials=self.trials + 1)
@@ -101,13 +101,18 @@
         raise ValueError(str(exc)) from exc
 
 
-def is_to_blame(count, others):
-    """Return whether a request with this `crashes.Count` is sent no more.
+def is_to_blame(count):
+    """Return whether a request with this `crashes.Count` is held."""
+    return count.upstreams >= MOST_ENDED
+
+
+def is_surely_to_blame(count, others):
+    """Return whether nothing else may have ended the upstreams.
 
-    ``others`` is how many upstreams ended without it, for reasons that are not known.
+    ``others`` is how many ended without it, for reasons that are not known.
     """
     needed = MOST_ENDED + (_MORE_ENDED if others else 0)
-    return count.upstreams >= needed
+    return count.upstreams >= needed and count.runs >= _LEAST_RUNS
 
 
 class Quarantine:
@@ -152,8 +157,8 @@
                 kept = False
             if kept:
                 self._kept.add(fingerprint)
-            while len(self._held) > _MOST_HELD:
-                self._drop(next(iter(self._held)))
+            if len(self._held) > _MOST_HELD:
+                self._drop(self._find_least())
             return known is None
 
     def remove(self, fingerprint):
@@ -163,8 +168,15 @@
 
     def find_old(self, now):
         """Return the fingerprints whose time is over."""
-        rows = self.get_all().items()
-        return [key for key, held in rows if now - held.since > _LONGEST]
+        return [
+            key
+            for key, held in self.get_all().items()
+            if now - held.since > (_LONGEST if held.record.is_sure else _LONGEST_UNSURE)
+        ]
+
+    def _find_least(self):
+        """Return the fingerprint that is least sure, of those the oldest."""
+        return min(self._held, key=lambda key: self._held[key].record.is_sure)
 
     def _drop(self, fingerprint):
         self._kept.discard(fingerprint)
