--- a/packages/valeweir_gateway/src/valeweir_gateway/blaming.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/blaming.py
@@ -181,23 +181,6 @@
         state.loads.note_error(instance_id, now, severe=True)
 
 
-def _set_aside(state, crash, now):
-    """Send nothing for a while to an upstream that was seen to end.
-
-    Without it each gateway found out by requests of its own, 8 to 18 in all.
-    """
-    instance_id = state.directory.get_id(crash.instance)
-    if instance_id is None or now - crash.ended > _RECENT:
-        return
-    if state.loads.is_usable(instance_id, now):
-        state.loads.note_error(instance_id, now, severe=True)
-
-
-def _is_to_blame(state, fingerprint, count, now):
-    blamed = state.quarantine.get_all().keys()
-    return is_to_blame(count, state.suspects.count_others(fingerprint, blamed, now))
-
-
 def _hold(state, fingerprint, count, now, job=None):
     """Hold a request back; ``job`` is its try here, if an upstream ended under that."""
     blamed = state.quarantine.get_all().keys()
