--- a/packages/valeweir_gateway/src/valeweir_gateway/crashes.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/crashes.py
@@ -37,7 +37,7 @@
     """The end of an upstream under a request.
 
     ``instance`` is the digest of the upstream's id; ``sent`` and ``ended`` are when the
-    request went there and when its connection broke off, on the steady clock.
+    request went there and when its connection broke off, on the gateway's clock.
     """
 
     instance: int
--- a/packages/valeweir_gateway/src/valeweir_gateway/keeping.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/keeping.py
@@ -44,7 +44,7 @@
         self._state = state
         self._store = store
         self._topic = topic
-        # Fingerprint: when to write, on the steady clock; a thread writes.
+        # Fingerprint: when to write, on the gateway's clock; a thread writes.
         self._due = {}
         self._next_claim = 0.0
         self._changed = threading.Condition()
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine.py
@@ -40,7 +40,7 @@
 class Held(NamedTuple):
     """A request in quarantine.
 
-    ``since`` is on the steady clock: when this gateway learned of its newest record.
+    ``since`` is on the gateway's clock: when this gateway learned of its newest record.
     ``record`` is what all gateways know of it.
     """
 
