--- a/packages/valeweir_gateway/src/valeweir_gateway/beliefs.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/beliefs.py
@@ -36,6 +36,20 @@
     return fields
 
 
+def describe_catalog(state, now):
+    """Return the fields that tell by which configuration, how old, was decided."""
+    age = state.freshness.get_age(now)
+    since = state.catalog_since
+    taken = state.taken.get(state.catalog_topic)
+    return {
+        "catalog_offset": state.catalog_offset,
+        "in_force_s": None if since is None else round(now - since, 3),
+        "view_age_s": None if age is None else round(age, 3),
+        "view_from": None if taken is None else taken.source,
+        "reads_store": state.reads_store,
+    }
+
+
 def describe_upstream(state, instance_id, now):
     """Return the fields that tell since when an upstream is believed to be ready."""
     noted = state.directory.get_noted(instance_id)
--- a/packages/valeweir_gateway/src/valeweir_gateway/decisions.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/decisions.py
@@ -2,7 +2,8 @@
 
 A line is written by a thread of its own. Above the rate, lines are left out
 and counted; decisions on failures have an allowance of their own, so that
-successes never crowd them out.
+successes never crowd them out. So have refusals that blame the client, as a flood
+refused for want of capacity would hide them.
 """
 
 import os
@@ -20,6 +21,8 @@
 _BURST = 240.0
 _FAILURE_RATE_PER_SECOND = 60.0
 _FAILURE_BURST = 240.0
+_DENIAL_RATE_PER_SECOND = 10.0
+_DENIAL_BURST = 60.0
 # Less than what a planned stop leaves of its grace.
 _STOP_WAIT = 0.2
 
@@ -66,6 +69,7 @@
         self._lock = threading.Lock()
         self._routine = _Allowance(_RATE_PER_SECOND, _BURST, clock)
         self._failures = _Allowance(_FAILURE_RATE_PER_SECOND, _FAILURE_BURST, clock)
+        self._denials = _Allowance(_DENIAL_RATE_PER_SECOND, _DENIAL_BURST, clock)
         self.left_out = 0
         self._told = 0
         self._thread = None
@@ -75,17 +79,18 @@
         self._thread = threading.Thread(target=self._run, name="log", daemon=True)
         self._thread.start()
 
-    def note(self, event, failed=False, **fields):
+    def note(self, event, failed=False, denied=False, **fields):
         """Write a line about a decision or a change of what is believed.
 
         Parameters
         ----------
         failed : bool
             Takes the line from the failures' allowance.
+        denied : bool
+            Takes it from the allowance of refusals that blame the client.
         """
         with self._lock:
-            allowance = self._failures if failed else self._routine
-            if not allowance.take():
+            if not self._pick_allowance(failed, denied).take():
                 self.left_out += 1
                 return
         # ``t`` orders the lines of one process; ``time`` those of several hosts,
@@ -102,6 +107,11 @@
         except queue.Full:
             self.left_out += 1
 
+    def _pick_allowance(self, failed, denied):
+        if denied:
+            return self._denials
+        return self._failures if failed else self._routine
+
     def stop(self):
         """Write what is queued, then end."""
         if self._thread is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/following.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/following.py
@@ -22,6 +22,7 @@
     def ignore(*_):
         pass
 
+    state.catalog_topic = adapter.catalog_topic
     state.instance_topic = adapter.instance_topic
 
     def follow(
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -175,6 +175,9 @@
         gauges.view_offset.set(state.directory_offset)
         age = state.freshness.get_age(state.clock())
         gauges.view_age.set(-1.0 if age is None else age)
+        for follower in self._followers:
+            age = follower.get_age(state.clock())
+            gauges.topic_age.labels(follower.topic).set(-1.0 if age is None else age)
         gauges.lag.set(state.pressure.lag)
         gauges.live_peers.set(len(state.members.get_live(state.clock())))
         gauges.instances.set(len(state.directory.by_id))
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -67,6 +67,11 @@
         self.view_age = self._gauge(
             "view_age_seconds", "How old the view may be, -1 where nothing is known"
         )
+        self.topic_age = self._gauge(
+            "topic_age_seconds",
+            "How long ago the store's answers on a topic were whole, -1 for never",
+            "topic",
+        )
         self.lag = self._gauge("processor_lag_seconds", "How late the event loop is")
         self.live_peers = self._gauge("live_peers", "Gateways heard from lately")
         self.instances = self._gauge("upstream_instances", "Upstream instances known")
@@ -100,8 +105,8 @@
     def _counter(self, name, text, labels):
         return Counter(f"valeweir_{name}", text, labels.split(), registry=self.registry)
 
-    def _gauge(self, name, text):
-        return Gauge(f"valeweir_{name}", text, registry=self.registry)
+    def _gauge(self, name, text, labels=""):
+        return Gauge(f"valeweir_{name}", text, labels.split(), registry=self.registry)
 
     def _histogram(self, name, text, labels):
         return Histogram(
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -1,18 +1,26 @@
 """What is counted and logged of requests, and learned of upstreams."""
 
-from .beliefs import describe_upstream, describe_view
+from .beliefs import describe_catalog, describe_upstream, describe_view
 from .exchanges import Fault
 from .fingerprints import format_fingerprint
 from .repeating import MISDIRECTED
 from .shares import describe_standing
 
+# Answers that blame the client for what it asks; wrong where the configuration in
+# force is an old one.
+_DENIALS = frozenset((401, 403, 404))
+# Characters of a client's host and path on a line: anybody may send anything.
+_LONGEST_ASKED = 80
+
 
 def note_refusal(state, job, refusal):
     """Count and log an answer of our own."""
     state.metrics.refused.labels(refusal.code).inc()
+    denied = refusal.status in _DENIALS
     state.log.note(
         "request refused",
         failed=True,
+        denied=denied,
         id=job.id,
         status=refusal.status,
         why=refusal.code,
@@ -24,9 +32,25 @@
         held_ms=to_milliseconds(state.clock() - job.arrived),
         retry_after=refusal.retry_after,
         **(refusal.inputs or {}),
+        **(_describe_asked(state, job) if denied else {}),
     )
 
 
+def _describe_asked(state, job):
+    """Return the fields that tell what was denied, and by which configuration."""
+    request = job.request
+    return {
+        "asked_host": request.headers.get("Host", "")[:_LONGEST_ASKED],
+        "asked_path": _get_prefix(request.path),
+        **describe_catalog(state, state.clock()),
+    }
+
+
+def _get_prefix(path):
+    """Return what a path has before its last slash, which routes go by."""
+    return path[: path.rfind("/") + 1][:_LONGEST_ASKED]
+
+
 def note_result(state, job, choice, failure, work):
     """Take in how a send ended: condition of the upstream, counters, a line."""
     now = state.clock()
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -55,6 +55,8 @@
         self.pause = pause
         self.rng = random.Random(seed)
         self.catalog = None
+        # Since when it is in force, None for never.
+        self.catalog_since = None
         self.directory = Directory()
         self.directory_known = False
         self.lapses = Lapses(cfg.upstreams.leave_within_ms / 1000.0)
@@ -81,6 +83,7 @@
         self.freshness = Freshness()
         # For the log: what was last taken into the view, by topic.
         self.taken = {}
+        self.catalog_topic = None
         self.instance_topic = None
         self.reads_store = False
         self.usage = UsageWindow(cfg.sharing.window)
@@ -157,4 +160,5 @@
             if self.catalog is not None and catalog.version <= self.catalog.version:
                 return False
             self.catalog = catalog
+            self.catalog_since = self.clock()
         return True
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -21,6 +21,10 @@
     """Records after the offset asked for are gone; list anew."""
 
 
+class Unanswered(PlatformUnavailable):
+    """A call ended by its own limit, with nothing heard on its connection."""
+
+
 class Conflict(Exception):
     """The topic does not end where a conditional append says; nothing was done."""
 
@@ -110,6 +114,7 @@
         self._asked = None
         self._was_away = False
         self.heard = None
+        self._whole_at = None
         self._on_heard = on_heard
         self._on_regained = on_regained
         self._on_taken = on_taken
@@ -146,6 +151,8 @@
             self._log.note("history expired", topic=self._topic, offset=self._next)
             self._next = None
         except PlatformUnavailable as exc:
+            if isinstance(exc, Unanswered):
+                self._note_unanswered()
             self._note_failure()
             self._set_available(False, str(exc))
             return False
@@ -164,6 +171,15 @@
         """Return whether the store did not answer the last call."""
         return self._available is False
 
+    @property
+    def topic(self):
+        """Return the name of the topic."""
+        return self._topic
+
+    def get_age(self, now):
+        """Return how long ago the topic was whole by the store's answers, or None."""
+        return None if self._whole_at is None else max(0.0, now - self._whole_at)
+
     @property
     def end(self):
         """Return the offset up to which the topic is known whole."""
@@ -197,12 +213,26 @@
 
     def _note_heard(self, as_of):
         self.heard = self._clock()
+        self._whole_at = as_of
         self._on_heard(self._topic, as_of)
 
     def _note_asked(self, wait):
         self._asked = Asked(self._clock(), wait, self._get_stalled())
         return self._asked
 
+    def _note_unanswered(self):
+        """Tell of a call that its own limit ended: its connection may be dead."""
+        now = self._clock()
+        age = self.get_age(now)
+        self._log.note(
+            "store call unanswered",
+            failed=True,
+            topic=self._topic,
+            waited_s=round(now - self._asked.at, 3),
+            allowed_s=round(self._asked.wait, 3),
+            topic_age_s=None if age is None else round(age, 3),
+        )
+
     def _note_failure(self):
         """Note that the store is away, unless this process had no time to hear it."""
         if self._get_stalled_since() <= _LATE_ANSWER:
--- a/packages/valeweir_gateway/tests/test_decisions.py
+++ b/packages/valeweir_gateway/tests/test_decisions.py
@@ -49,3 +49,16 @@
         self.log.note("failed", failed=True)
         self.flush()
         self.assertIn(b'"failed"', self.lines[-1])
+
+    def test_a_flood_of_refusals_hides_no_denial(self):
+        for _ in range(5_000):
+            self.log.note("request refused", failed=True)
+        self.log.note("request refused", failed=True, denied=True, status=404)
+        self.flush()
+        self.assertIn(b'"status":404', self.lines[-1])
+
+    def test_denials_are_bounded_too(self):
+        for _ in range(5_000):
+            self.log.note("request refused", failed=True, denied=True)
+        self.flush()
+        self.assertLess(len(self.lines), 100)
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_recording.py
@@ -0,0 +1,55 @@
+import unittest
+
+from valeweir_gateway.catalog import Catalog, Limits
+from valeweir_gateway.jobs import Job
+from valeweir_gateway.members import Member
+from valeweir_gateway.recording import note_refusal
+from valeweir_gateway.refusals import Refusal
+from valeweir_gateway.requests import Headers, Request
+from viewing import Clock, make_state
+
+
+class TestDenials(unittest.TestCase):
+    """A refusal that blames the client says which configuration decided."""
+
+    def setUp(self):
+        self.clock = Clock(100.0)
+        self.state = make_state(Member("h0", "a", "10.0.0.1:4"), self.clock)
+        self.state.log.note = self.note
+        self.state.put_catalog(Catalog(7, [], [], [], Limits()))
+        self.state.catalog_offset = 41
+        self.state.freshness.note_peer(101.0)
+        self.clock.now = 104.5
+        self.lines = []
+
+    def note(self, event, failed=False, denied=False, **fields):
+        self.lines.append((denied, fields))
+
+    def refuse(self, refusal, path="/new/some/thing"):
+        headers = Headers([("Host", "asked.example")])
+        request = Request("GET", path, headers, b"", True)
+        job = Job(request, None, self.state.catalog, self.clock.now)
+        note_refusal(self.state, job, refusal)
+        return self.lines[-1]
+
+    def test_what_was_asked_and_by_what_it_was_denied(self):
+        denied, fields = self.refuse(Refusal(404, "no-route"))
+        self.assertTrue(denied)
+        expected = {
+            "asked_host": "asked.example",
+            "asked_path": "/new/some/",
+            "version": 7,
+            "catalog_offset": 41,
+            "in_force_s": 4.5,
+            "view_age_s": 3.5,
+        }
+        self.assertLessEqual(expected.items(), fields.items())
+
+    def test_long_paths_are_cut(self):
+        _, fields = self.refuse(Refusal(404, "no-route"), f"/{'x' * 9_000}/y")
+        self.assertLess(len(fields["asked_path"]), 100)
+
+    def test_other_refusals_say_nothing_of_it(self):
+        denied, fields = self.refuse(Refusal(503, "engines-busy"))
+        self.assertFalse(denied)
+        self.assertNotIn("asked_path", fields)
--- a/packages/valeweir_gateway/tests/test_stores.py
+++ b/packages/valeweir_gateway/tests/test_stores.py
@@ -1,7 +1,7 @@
 import unittest
 
 from valeweir.exceptions import PlatformUnavailable
-from valeweir_gateway.stores import HistoryExpired, TopicFollower
+from valeweir_gateway.stores import HistoryExpired, TopicFollower, Unanswered
 from valeweir_gateway.topics import Batch, Entry, Listing
 
 
@@ -110,6 +110,18 @@
         self.assertEqual(self.get_applied(), [("a", b"1"), ("a", None), ("a", b"2")])
 
 
+class TestAges(FollowerCase):
+    def test_a_call_that_its_own_limit_ended_has_a_line(self):
+        self.follow(Listing([], 4), Unanswered("silence"), PlatformUnavailable("no"))
+        self.assertEqual(self.log.events.count("store call unanswered"), 1)
+
+    def test_a_topic_is_as_old_as_the_call_that_told_it_whole(self):
+        self.follow()
+        self.assertIsNone(self.follower.get_age(9.0))
+        self.follow(Listing([], 4))
+        self.assertEqual(self.follower.get_age(9.0), 2.0)
+
+
 class RecordedWaits:
     """Stands for an event; notes the waits and ends them all at once."""
 
