--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -178,6 +178,7 @@
         for follower in self._followers:
             age = follower.get_age(state.clock())
             gauges.topic_age.labels(follower.topic).set(-1.0 if age is None else age)
+        gauges.unapplied.set(sum(row.unapplied for row in self._followers))
         gauges.lag.set(state.pressure.lag)
         gauges.live_peers.set(len(state.members.get_live(state.clock())))
         gauges.instances.set(len(state.directory.by_id))
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -72,6 +72,9 @@
             "How long ago the store's answers on a topic were whole, -1 for never",
             "topic",
         )
+        self.unapplied = self._gauge(
+            "unapplied_records", "Store records read that could not be applied yet"
+        )
         self.lag = self._gauge("processor_lag_seconds", "How late the event loop is")
         self.live_peers = self._gauge("live_peers", "Gateways heard from lately")
         self.instances = self._gauge("upstream_instances", "Upstream instances known")
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -12,6 +12,8 @@
 _LONGEST_PAUSE = 1.0
 _IDLE_CHECK = 0.15
 _SERIES_PAUSE = 0.2
+# Characters of a key on a line of the log.
+_LONGEST_KEY = 120
 # Seconds beyond a call's own wait after which the store counts as having been
 # away: a hundred times its usual answer of some milliseconds.
 _LATE_ANSWER = 0.5
@@ -101,7 +103,7 @@
     ):
         self._store = store
         self._topic = topic
-        self._records = TopicRecords(apply)
+        self._records = TopicRecords(apply, self._note_unapplied)
         self._on_listed = on_listed
         self._log = log
         self._poll = poll
@@ -203,6 +205,16 @@
         """Take in what a peer says has changed since our end."""
         self._take(self._records.take_batch, batch, source, False)
 
+    @property
+    def unapplied(self):
+        """Return how many records could not be applied yet."""
+        return len(self._records.get_unapplied())
+
+    def apply_again(self):
+        """Try once more what could not be applied."""
+        with self._lock:
+            self._records.apply_again(self._records.get_unapplied())
+
     def _list(self):
         asked = self._note_asked(0.0)
         listing = self._store.list_newest(self._topic)
@@ -211,8 +223,21 @@
         self._next = listing.end
         self._note_heard(asked.at)
 
+    def _note_unapplied(self, entry, exc):
+        self._log.note(
+            "record not applied",
+            failed=True,
+            topic=self._topic,
+            key=entry.key[:_LONGEST_KEY],
+            offset=entry.offset,
+            why=repr(exc),
+        )
+
     def _note_heard(self, as_of):
         self.heard = self._clock()
+        if self.unapplied:
+            # Nobody may rely on what has been read and is not in force.
+            return
         self._whole_at = as_of
         self._on_heard(self._topic, as_of)
 
@@ -280,7 +305,9 @@
         """Take in what was told, by the `TopicRecords` method ``take``."""
         with self._lock:
             begin = self.end
+            unapplied = self._records.get_unapplied()
             take(told)
+            self._records.apply_again(unapplied)
             taken = Taken(begin, self.end, source, is_listing, self._clock())
             self._on_taken(self._topic, taken)
             self._on_listed(self.end)
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -19,6 +19,7 @@
 _PATIENCE = 0.25
 _TIMEOUT = 0.5
 _LONGEST_BEHIND = 0.6
+_APPLY_PAUSE = 0.3
 
 
 class TopicView(msgspec.Struct, array_like=True, frozen=True):
@@ -104,6 +105,7 @@
         self._port = port
         self._duty = duty
         self._behind_since = None
+        self._next_apply = 0.0
         self._pool = urllib3.PoolManager(num_pools=8, maxsize=1, retries=False)
 
     def start(self, stopped):
@@ -162,6 +164,7 @@
         interval = _CHECK
         while not stopped.wait(interval):
             taken = self._try_to_catch_up()
+            self._apply_again(self._state.clock())
             if taken is False:
                 interval = _PATIENCE
             else:
@@ -174,6 +177,14 @@
             self._state.log.note("view not taken", failed=True, why=repr(exc))
             return False
 
+    def _apply_again(self, now):
+        if now < self._next_apply:
+            return
+        self._next_apply = now + _APPLY_PAUSE
+        for follower in (self._catalog, self._instances, self._quarantine):
+            if follower.unapplied:
+                follower.apply_again()
+
     def catch_up(self, now):
         """Take a newer view where there is one; return whether it could be had.
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/topics.py
@@ -42,16 +42,31 @@
     ----------
     apply : callable
         Called with each `Entry` that is newer than what was known of its key.
+    on_fault : callable
+        Called with an `Entry` and the exception that applying it raised.
     """
 
-    def __init__(self, apply):
+    def __init__(self, apply, on_fault=lambda entry, exc: None):
         self._apply = apply
+        self._on_fault = on_fault
         self._entries = {}
+        # What could not be applied yet, by key.
+        self._unapplied = {}
         self._removed = collections.deque()
         # Changes from here on are all known, removals among them.
         self._changes_from = 0
         self.end = 0
 
+    def get_unapplied(self):
+        """Return the records that could not be applied yet."""
+        return list(self._unapplied.values())
+
+    def apply_again(self, entries):
+        """Try once more those that could not be applied and are still the newest."""
+        for entry in entries:
+            if self._unapplied.get(entry.key) is entry:
+                self._try_to_apply(entry)
+
     def get_listing(self):
         """Return what is known as a `Listing`."""
         kept = [e for e in self._entries.values() if e.value is not None]
@@ -97,7 +112,23 @@
         self._entries[entry.key] = entry
         if entry.value is None:
             self._note_removed(entry)
-        self._apply(entry)
+        self._try_to_apply(entry)
+
+    def _try_to_apply(self, entry):
+        """Apply a record, or keep it for later.
+
+        It is known from now on and nobody tells it again, so one whose applying raises
+        would be passed over for good, and the records after it with it.
+        """
+        try:
+            self._apply(entry)
+        except Exception as exc:
+            known = self._unapplied.get(entry.key)
+            self._unapplied[entry.key] = entry
+            if known is not entry:
+                self._on_fault(entry, exc)
+        else:
+            self._unapplied.pop(entry.key, None)
 
     def _note_removed(self, entry):
         """Keep the newest removals, so that peers can be told of them."""
