--- a/packages/valeweir_gateway/src/valeweir_gateway/duties.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/duties.py
@@ -12,6 +12,8 @@
 # What a view ages on its way from the gateway that reads: at two steps each, the
 # heartbeat that brings the stamp (0.3), and the ticks of crowded relays.
 _RELAYED_TIME = 1.0
+# The same in a mesh, where everybody hears the one that asks often.
+_TOLD_TIME = 0.4
 _FLEET_POLL = 1.0
 _LEAST_POLL = 0.2
 # At the start others may soon be heard that have read the store already.
@@ -24,9 +26,11 @@
 def get_longest_age(cfg):
     """Return the seconds of age at which a view leaves just the time to read the store.
 
-    A leaving upstream that is not in it yet may then still get what is sent.
+    A leaving upstream that is not in it yet may then still get what is sent, and a
+    change of the configuration be in force too late.
     """
-    return cfg.upstreams.leave_within_ms / 1000.0 - _READ_TIME
+    allowed = min(cfg.upstreams.leave_within_ms, cfg.store.change_within_ms)
+    return allowed / 1000.0 - _READ_TIME
 
 
 class StoreDuty:
@@ -69,13 +73,18 @@
         """Return how long a call waits for a record, in seconds.
 
         Those that others depend on have to notice a silent store soon, and an answer
-        must come while the last one is still new enough at the others.
+        must come while the last one is still new enough at the others. In a mesh all
+        read, and one that asks often keeps all views young: the rest may wait long.
         """
-        poll = self._state.cfg.store.poll
-        if self._state.members.is_mesh:
+        state = self._state
+        poll = state.cfg.store.poll
+        is_mesh = state.members.is_mesh
+        if is_mesh and not self._is_first_of_all(state.clock()):
             return poll
-        relayed = max(_LEAST_POLL, get_longest_age(self._state.cfg) - _RELAYED_TIME)
-        return min(poll, _FLEET_POLL, relayed)
+        told = _TOLD_TIME if is_mesh else _RELAYED_TIME
+        return min(
+            poll, _FLEET_POLL, max(_LEAST_POLL, get_longest_age(state.cfg) - told)
+        )
 
     def _decide(self, now):
         state = self._state
@@ -93,6 +102,7 @@
         return age > get_longest_age(state.cfg)
 
     def _is_first(self, now):
+        """Return whether no gateway before this one in its domain answers."""
         members = self._state.members
         for row in members.get_ranked(members.own.domain):
             if row == members.own:
@@ -100,3 +110,17 @@
             if not members.is_suspect(row.host, now):
                 return False
         return True
+
+    def _is_first_of_all(self, now):
+        """Return whether no gateway before this one in the fleet answers."""
+        members = self._state.members
+        domains = sorted(members.get_domains())
+        before = domains[: domains.index(members.own.domain)]
+        if any(self._has_unsuspected(domain, now) for domain in before):
+            return False
+        return self._is_first(now)
+
+    def _has_unsuspected(self, domain, now):
+        members = self._state.members
+        rows = members.get_ranked(domain)
+        return any(not members.is_suspect(row.host, now) for row in rows)
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -18,6 +18,7 @@
 from .loops import create_loop
 from .operating import QUARANTINE_PATH, create_quarantine_handler
 from .publishing import Publisher
+from .refreshing import Refresher
 from .servers import create_plain_handler, create_server
 from .sockets import prepare_socket
 from .states import GatewayState
@@ -67,6 +68,7 @@
             self._followers,
             int(listen.fleet.rpartition(":")[2]),
             duty,
+            Refresher(state, self._followers, duty),
         )
         self._scout = CacheScout(state, adapter.list_parts)
         self._metrics = _create_metrics_server(state, self._update_gauges)
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -38,12 +38,15 @@
 
     ``poll`` is how long a call waits for a record, ``quarantine_poll`` the same for
     quarantines, which gateways tell each other first: each call has its price.
+    ``change_within_ms`` is the time in milliseconds after which a configuration that
+    the store has acknowledged must be in force.
     """
 
     address: str
     poll: float = 5.0
     timeout: float = 2.0
     quarantine_poll: float = 25.0
+    change_within_ms: float = 2000.0
 
 
 class Retries(msgspec.Struct, frozen=True):
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -17,6 +17,9 @@
 # Seconds beyond a call's own wait after which the store counts as having been
 # away: a hundred times its usual answer of some milliseconds.
 _LATE_ANSWER = 0.5
+# Seconds beyond a call's own wait after which its answer counts as overdue: what a slow
+# store takes.
+_OVERDUE = 0.3
 
 
 class HistoryExpired(PlatformUnavailable):
@@ -34,8 +37,8 @@
 class Asked(NamedTuple):
     """A call under way.
 
-    ``at`` is on the steady clock, ``wait`` how long the store may keep it, in
-    seconds, and ``stalled`` for how long this process had stood still until then.
+    ``at`` is when it began, ``wait`` how long the store may keep it, in seconds, and
+    ``stalled`` for how long this process had stood still until then.
     """
 
     at: float
@@ -46,10 +49,10 @@
 class Store(Protocol):
     """Calls of the store; each raises `PlatformUnavailable` where it fails."""
 
-    def list_newest(self, topic):
-        """Return a `Listing` of the topic."""
+    def list_newest(self, topic, anew=False):
+        """Return a `Listing` of the topic, ``anew`` on a connection of its own."""
 
-    def read(self, topic, offset, wait):
+    def read(self, topic, offset, wait, anew=False):
         """Return a `Batch`, waiting up to ``wait`` seconds for a record."""
 
     def put(self, topic, key, value, at=None):
@@ -113,8 +116,12 @@
         self._lock = threading.RLock()
         self._pause = _FIRST_PAUSE
         self._available = None
+        # The call that the follower's own thread makes now, or made last.
         self._asked = None
+        self._is_calling = False
         self._was_away = False
+        # Calls in a row that their own limit ended.
+        self._unanswered = 0
         self.heard = None
         self._whole_at = None
         self._on_heard = on_heard
@@ -152,11 +159,11 @@
         except HistoryExpired:
             self._log.note("history expired", topic=self._topic, offset=self._next)
             self._next = None
+        except Unanswered as exc:
+            self._note_unanswered(str(exc))
+            return False
         except PlatformUnavailable as exc:
-            if isinstance(exc, Unanswered):
-                self._note_unanswered()
-            self._note_failure()
-            self._set_available(False, str(exc))
+            self._note_away(self._asked, str(exc))
             return False
         except Exception as exc:
             # A record that nobody foresaw must not end the following of others.
@@ -164,10 +171,46 @@
                 "following failed", failed=True, topic=self._topic, why=repr(exc)
             )
             return False
+        finally:
+            self._is_calling = False
         self._pause = _FIRST_PAUSE
+        self._unanswered = 0
         self._set_available(True, "")
         return True
 
+    def refresh(self):
+        """Read what is new on a connection of its own; return whether it could be had.
+
+        May be called while the follower's own call waits: that one cannot tell a quiet
+        store from a connection that nothing passes any more.
+        """
+        asked = self._make_asked(0.0)
+        try:
+            self._read_anew(asked)
+        except PlatformUnavailable as exc:
+            self._note_away(asked, str(exc))
+            return False
+        self._set_available(True, "")
+        return True
+
+    def is_waiting(self, now, seconds):
+        """Return whether the follower's own call has lasted for longer than that."""
+        return self._is_calling and now - self._asked.at > seconds
+
+    def is_overdue(self, now):
+        """Return whether the answer to the follower's own call should have come."""
+        return self._is_calling and now - self._asked.at > self._asked.wait + _OVERDUE
+
+    @property
+    def unapplied(self):
+        """Return how many records could not be applied yet."""
+        return len(self._records.get_unapplied())
+
+    def apply_again(self):
+        """Try once more what could not be applied."""
+        with self._lock:
+            self._records.apply_again(self._records.get_unapplied())
+
     @property
     def is_away(self):
         """Return whether the store did not answer the last call."""
@@ -205,24 +248,58 @@
         """Take in what a peer says has changed since our end."""
         self._take(self._records.take_batch, batch, source, False)
 
-    @property
-    def unapplied(self):
-        """Return how many records could not be applied yet."""
-        return len(self._records.get_unapplied())
-
-    def apply_again(self):
-        """Try once more what could not be applied."""
-        with self._lock:
-            self._records.apply_again(self._records.get_unapplied())
-
     def _list(self):
-        asked = self._note_asked(0.0)
+        asked = self._begin_call(0.0)
         listing = self._store.list_newest(self._topic)
-        self._note_answer()
+        self._note_answer(asked)
         self._take(self._records.take_listing, listing, STORE, True)
         self._next = listing.end
         self._note_heard(asked.at)
 
+    def _read(self):
+        # What a peer has told meanwhile need not be read again.
+        start = self._next = max(self._next, self.end)
+        asked = self._begin_call(self._poll())
+        try:
+            batch = self._store.read(self._topic, start, asked.wait)
+        except HistoryExpired:
+            self._note_answer(asked)
+            raise
+        self._note_answer(asked)
+        self._take(self._records.take_batch, batch, STORE, False)
+        self._next = batch.end
+        # The store answers without a record only once it has waited for one.
+        waited = 0.0 if batch.entries else asked.wait
+        self._note_heard(min(asked.at + waited, self._clock()))
+
+    def _read_anew(self, asked):
+        try:
+            batch = self._store.read(self._topic, self.end, asked.wait, anew=True)
+        except HistoryExpired:
+            listing = self._store.list_newest(self._topic, anew=True)
+            self._note_answer(asked)
+            self._take(self._records.take_listing, listing, STORE, True)
+        else:
+            self._note_answer(asked)
+            self._take(self._records.take_batch, batch, STORE, False)
+        self._note_heard(asked.at)
+
+    def _begin_call(self, wait):
+        self._asked = self._make_asked(wait)
+        self._is_calling = True
+        return self._asked
+
+    def _make_asked(self, wait):
+        return Asked(self._clock(), wait, self._get_stalled())
+
+    def _note_heard(self, as_of):
+        self.heard = self._clock()
+        if self.unapplied:
+            # Nobody may rely on what has been read and is not in force.
+            return
+        self._whole_at = as_of
+        self._on_heard(self._topic, as_of)
+
     def _note_unapplied(self, entry, exc):
         self._log.note(
             "record not applied",
@@ -233,20 +310,13 @@
             why=repr(exc),
         )
 
-    def _note_heard(self, as_of):
-        self.heard = self._clock()
-        if self.unapplied:
-            # Nobody may rely on what has been read and is not in force.
-            return
-        self._whole_at = as_of
-        self._on_heard(self._topic, as_of)
-
-    def _note_asked(self, wait):
-        self._asked = Asked(self._clock(), wait, self._get_stalled())
-        return self._asked
+    def _note_unanswered(self, why):
+        """Tell of a call that its own limit ended.
 
-    def _note_unanswered(self):
-        """Tell of a call that its own limit ended: its connection may be dead."""
+        It may only have lost its connection, and the next call has a new one: an outage
+        shows itself to that, or to calls made anew as the view grew old. Taken for one,
+        the silence would keep upstreams that left in use for two seconds more.
+        """
         now = self._clock()
         age = self.get_age(now)
         self._log.note(
@@ -257,17 +327,21 @@
             allowed_s=round(self._asked.wait, 3),
             topic_age_s=None if age is None else round(age, 3),
         )
+        self._unanswered += 1
+        if self._unanswered > 1:
+            self._note_away(self._asked, why)
 
-    def _note_failure(self):
+    def _note_away(self, asked, why):
         """Note that the store is away, unless this process had no time to hear it."""
-        if self._get_stalled_since() <= _LATE_ANSWER:
+        if self._get_stalled() - asked.stalled <= _LATE_ANSWER:
             self._was_away = True
+        self._set_available(False, why)
 
-    def _note_answer(self):
+    def _note_answer(self, asked):
         """Tell where this answer ends a time in which the store was away."""
         now = self._clock()
-        stalled = self._get_stalled_since()
-        late = now - self._asked.at - self._asked.wait
+        stalled = self._get_stalled() - asked.stalled
+        late = now - asked.at - asked.wait
         if late > _LATE_ANSWER:
             self._log.note(
                 "store answered late",
@@ -281,26 +355,6 @@
             self._on_regained(now)
         self._was_away = False
 
-    def _get_stalled_since(self):
-        """Return for how long this process stood still since the last call began."""
-        return self._get_stalled() - self._asked.stalled
-
-    def _read(self):
-        # What a peer has told meanwhile need not be read again.
-        start = self._next = max(self._next, self.end)
-        asked = self._note_asked(self._poll())
-        try:
-            batch = self._store.read(self._topic, start, asked.wait)
-        except HistoryExpired:
-            self._note_answer()
-            raise
-        self._note_answer()
-        self._take(self._records.take_batch, batch, STORE, False)
-        self._next = batch.end
-        # The store answers without a record only once it has waited for one.
-        waited = 0.0 if batch.entries else asked.wait
-        self._note_heard(min(asked.at + waited, self._clock()))
-
     def _take(self, take, told, source, is_listing):
         """Take in what was told, by the `TopicRecords` method ``take``."""
         with self._lock:
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -19,7 +19,6 @@
 _PATIENCE = 0.25
 _TIMEOUT = 0.5
 _LONGEST_BEHIND = 0.6
-_APPLY_PAUSE = 0.3
 
 
 class TopicView(msgspec.Struct, array_like=True, frozen=True):
@@ -95,18 +94,19 @@
         Port of the fleet's HTTP interface, the same at every gateway.
     duty : duties.StoreDuty
         Told when peers do not give their view in time.
+    refresher : refreshing.Refresher
     """
 
-    def __init__(self, state, followers, port, duty):
+    def __init__(self, state, followers, port, duty, refresher):
         self._state = state
         self._catalog = followers.catalog
         self._instances = followers.instances
         self._quarantine = followers.quarantine
         self._port = port
         self._duty = duty
+        self._refresher = refresher
         self._behind_since = None
-        self._next_apply = 0.0
-        self._pool = urllib3.PoolManager(num_pools=8, maxsize=1, retries=False)
+        self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
 
     def start(self, stopped):
         """Check in a thread of its own."""
@@ -136,6 +136,9 @@
             "quarantine": self._quarantine.end,
         }
         asked = self._state.clock()
+        # Always a new connection: a kept one may have fallen silent meanwhile, and to
+        # find that out takes longer than to open another.
+        self._pool.clear()
         try:
             resp = self._pool.request("GET", url, fields=since, timeout=_TIMEOUT)
         except urllib3.exceptions.HTTPError:
@@ -163,28 +166,22 @@
     def _run(self, stopped):
         interval = _CHECK
         while not stopped.wait(interval):
-            taken = self._try_to_catch_up()
-            self._apply_again(self._state.clock())
+            taken = self._guard(self.catch_up)
+            # After what peers know, which costs no call of the store.
+            self._guard(self._refresher.check)
             if taken is False:
                 interval = _PATIENCE
             else:
                 interval = _READERS_CHECK if self._duty.reads_store() else _CHECK
 
-    def _try_to_catch_up(self):
+    def _guard(self, action):
+        """Do something now; what goes wrong must not end this thread."""
         try:
-            return self.catch_up(self._state.clock())
+            return action(self._state.clock())
         except Exception as exc:
             self._state.log.note("view not taken", failed=True, why=repr(exc))
             return False
 
-    def _apply_again(self, now):
-        if now < self._next_apply:
-            return
-        self._next_apply = now + _APPLY_PAUSE
-        for follower in (self._catalog, self._instances, self._quarantine):
-            if follower.unapplied:
-                follower.apply_again()
-
     def catch_up(self, now):
         """Take a newer view where there is one; return whether it could be had.
 
--- a/packages/valeweir_standins/src/valeweir_standins/wires.py
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -11,7 +11,7 @@
 from valeweir_gateway.members import Member, Members
 from valeweir_gateway.quarantine import Quarantine
 from valeweir_gateway.retries import RetryBudget
-from valeweir_gateway.settings import Sharing, Upstreams
+from valeweir_gateway.settings import Sharing, Store, Upstreams
 from valeweir_gateway.shares import Shares
 from valeweir_gateway.usage import UsageWindow
 
@@ -90,7 +90,10 @@
     usage = UsageWindow(_WINDOW)
     return SimpleNamespace(
         cfg=SimpleNamespace(
-            host=member.host, domain=member.domain, upstreams=Upstreams()
+            host=member.host,
+            domain=member.domain,
+            store=Store("10.9.9.9:1"),
+            upstreams=Upstreams(),
         ),
         clock=clock,
         catalog=None,
