--- a/packages/valeweir_gateway/src/valeweir_gateway/checking.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/checking.py
@@ -1,6 +1,7 @@
 """What a request asks for, and whether the configuration allows it."""
 
 from .catalog import RouteKind
+from .duties import get_longest_age
 from .prompts import parse_prompt
 from .refusals import Refusal
 
@@ -16,14 +17,9 @@
         return Refusal(503, "not-ready", retry_after=_UNREADY_RETRY)
     headers = job.request.headers
     _note_own_headers(state, job)
-    job.route = job.catalog.find_route(headers.get("Host", ""), job.request.path)
-    if job.route is None:
-        return Refusal(404, "no-route")
-    if not job.route.public and job.catalog.needs_key:
-        scheme, _, key = headers.get("Authorization", "").partition(" ")
-        job.account = job.catalog.find_account(key.strip())
-        if job.account is None or scheme.lower() != "bearer":
-            return Refusal(401, "unknown-key")
+    denial = _check_allowed(job)
+    if denial is not None:
+        return _deny(state, denial)
     _note_time(state, job)
     job.deadline = job.arrived + job.allowed
     if state.refusing and not _ends_in_time(state, job):
@@ -38,6 +34,39 @@
     return None
 
 
+def _check_allowed(job):
+    """Fill in route and account; return a `Refusal` where there is none."""
+    headers = job.request.headers
+    job.route = job.catalog.find_route(headers.get("Host", ""), job.request.path)
+    if job.route is None:
+        return Refusal(404, "no-route")
+    if job.route.public or not job.catalog.needs_key:
+        return None
+    scheme, _, key = headers.get("Authorization", "").partition(" ")
+    job.account = job.catalog.find_account(key.strip())
+    if job.account is None or scheme.lower() != "bearer":
+        return Refusal(401, "unknown-key")
+    return None
+
+
+def _deny(state, denial):
+    """Return a refusal that blames the client only where the configuration is new.
+
+    Whoever gets 404 or 401 does not come again, though what it asks for may have been
+    added since this gateway last heard of changes. It reads them meanwhile, so this
+    costs no call of the store, however many such requests come.
+    """
+    age = state.freshness.get_age(state.clock())
+    if age is not None and age <= get_longest_age(state.cfg):
+        return denial
+    return Refusal(
+        503,
+        "configuration-old",
+        retry_after=_UNREADY_RETRY,
+        inputs={"instead_of": denial.code},
+    )
+
+
 def _note_own_headers(state, job):
     """Count and log headers that the client may not set; they are not sent on."""
     found = [name.lower() for name in job.request.headers]
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_checking.py
@@ -0,0 +1,71 @@
+"""Nobody is blamed by a configuration that may be an old one.
+
+Proper requests were refused with 404 while the gateway had heard nothing for seconds. A
+client that gets 404 or 401 does not come again, although the route that it asks for has
+been in force elsewhere for seconds; what the gateway knows by then is only that it does
+not know.
+"""
+
+import unittest
+
+from valeweir_gateway.catalog import (
+    Account,
+    Catalog,
+    Limits,
+    Route,
+    RouteKind,
+    Service,
+    Target,
+)
+from valeweir_gateway.checking import check
+from valeweir_gateway.jobs import Job
+from valeweir_gateway.members import Member
+from valeweir_gateway.requests import Headers, Request
+from viewing import Clock, make_state
+
+ROUTE = Route(
+    "r", "h", "/known/", RouteKind.SAFE, 3.0, 0.5, 1, (Target("api", 1.0),), 1
+)
+ACCOUNT = Account("one", ("key",), None)
+
+
+class TestDenials(unittest.TestCase):
+    def setUp(self):
+        self.clock = Clock(100.0)
+        # Changes must be in force within 2 s.
+        self.state = make_state(Member("h0", "a", "10.0.0.1:4"), self.clock)
+        services = [Service("api", 8, None)]
+        self.state.put_catalog(Catalog(1, [ROUTE], services, [ACCOUNT], Limits()))
+        self.state.catalog_known = True
+        self.state.freshness.note_peer(100.0)
+
+    def check(self, path, key, at):
+        self.clock.now = at
+        headers = Headers([("Host", "h"), ("Authorization", f"Bearer {key}")])
+        request = Request("GET", path, headers, b"", True)
+        return check(self.state, Job(request, None, self.state.catalog, at))
+
+    def get_status(self, *asked):
+        refusal = self.check(*asked)
+        return refusal.status if refusal else None
+
+    def test_a_young_view_is_believed(self):
+        self.assertEqual(self.get_status("/new/x", "key", 101.3), 404)
+        self.assertEqual(self.get_status("/known/x", "new", 101.3), 401)
+
+    def test_an_old_one_denies_nobody(self):
+        for path, key in (("/new/x", "key"), ("/known/x", "new")):
+            with self.subTest(path=path):
+                refusal = self.check(path, key, 102.0)
+                self.assertEqual(refusal.status, 503)
+                self.assertGreater(refusal.retry_after, 0.0)
+
+    def test_a_view_of_unknown_age_denies_nobody(self):
+        state = self.state
+        self.state = make_state(Member("h0", "a", "10.0.0.1:4"), self.clock)
+        self.state.put_catalog(state.catalog)
+        self.state.catalog_known = True
+        self.assertEqual(self.get_status("/new/x", "key", 100.0), 503)
+
+    def test_what_is_known_is_served_on(self):
+        self.assertIsNone(self.get_status("/known/x", "key", 130.0))
