--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -15,6 +15,7 @@
 _FRESH_WITHIN = 1.0
 _PROMISES = frozenset((408, 421, 429, 503))
 _SERVER_ERROR = 500
+_TIME_UP = frozenset((Fault.LATE, Fault.SLOW))
 
 
 async def attempt(state, job, choice):
@@ -51,6 +52,10 @@
         exchange.close()
         state.loads.finish(work, state.clock())
     note_result(state, job, choice, failure, work)
+    if failure is not None and failure.fault in _TIME_UP and not exchange.is_heard:
+        # The connection may have fallen silent, and those kept beside it as well. Each
+        # would cost another request all of its time; a new one costs a round trip.
+        state.connections.drop(instance.id)
     if failure is None:
         note_answered(state, job)
     elif failure.broke_off:
--- a/packages/valeweir_gateway/src/valeweir_gateway/exchanges.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/exchanges.py
@@ -80,6 +80,8 @@
         self._parser = AnswerParser()
         self._reusable = True
         self._call = None
+        # Whether any byte of an answer has come.
+        self.is_heard = False
 
     async def send(self, call):
         """Send the request; return None or a `Failure`."""
@@ -159,6 +161,7 @@
                 continue
             except OSError as exc:
                 return self._fail(Fault.AMBIGUOUS, f"reset: {exc}", broke_off=True)
+            self.is_heard = True
             self._parser.feed(data)
             return None
 
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_silent_upstreams.py
@@ -0,0 +1,59 @@
+"""One request is enough to find that connections to an upstream have fallen silent.
+
+Sends ended with "the time was up" and no byte of an answer, several at one upstream
+that served others. Where open connections have fallen silent while new ones work, each
+request that takes a kept one waits until its own time is up, and the next takes the
+next. Whether the users' sends ended so their record does not show.
+"""
+
+import socket
+import threading
+import unittest
+
+from test_standstill import INSTANCE, REQUEST, ROUTE, RecordingReply
+from valeweir.timers import get_lease_time
+from valeweir_gateway.catalog import Catalog, Limits, Service
+from valeweir_gateway.forwarding import create_handler
+from valeweir_gateway.loops import create_loop
+from valeweir_gateway.members import Member
+from viewing import make_state
+
+SHORT_ROUTE = ROUTE._replace(timeout=0.3)
+
+
+class TestKeptConnections(unittest.TestCase):
+    def setUp(self):
+        self.state = make_state(Member("h0", "a", "10.0.0.1:4"), get_lease_time)
+        services = [Service("api", 8, None)]
+        self.state.put_catalog(Catalog(1, [SHORT_ROUTE], services, [], Limits()))
+        self.state.catalog_known = True
+        self.state.directory.put(INSTANCE)
+        self.upstreams = [self.keep_connection() for _ in range(3)]
+
+    def keep_connection(self):
+        upstream, near = socket.socketpair()
+        self.addCleanup(upstream.close)
+        self.state.connections.keep(INSTANCE.id, near)
+        return upstream
+
+    def handle(self):
+        reply = RecordingReply()
+        loop = create_loop(get_lease_time)
+        loop.run_until_complete(create_handler(self.state)(REQUEST, reply))
+        loop.close()
+        return reply.status
+
+    def test_after_one_without_any_answer_none_is_used_again(self):
+        self.assertEqual(self.handle(), 504)
+        self.assertIsNone(self.state.connections.take(INSTANCE.id))
+
+    def test_one_that_has_begun_to_answer_is_only_slow(self):
+        newest = self.upstreams[-1]
+
+        def begin_to_answer():
+            newest.recv(100)
+            newest.sendall(b"HTTP/1.1 200 OK\r\n")
+
+        threading.Thread(target=begin_to_answer).start()
+        self.assertEqual(self.handle(), 504)
+        self.assertIsNotNone(self.state.connections.take(INSTANCE.id))
