--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -19,6 +19,8 @@
 _PATIENCE = 0.25
 _TIMEOUT = 0.5
 _LONGEST_BEHIND = 0.6
+# Below the offset of a topic that is empty.
+_NEVER_READ = -1
 
 
 class TopicView(msgspec.Struct, array_like=True, frozen=True):
@@ -116,16 +118,24 @@
 
     def find_newer(self, now):
         """Return the live peer with the newest view if it is newer, or None."""
-        state = self._state
-        own = (state.catalog_offset, state.directory_offset, state.quarantine_offset)
+        own = self._get_own_offsets()
         best = None
-        for peer in state.members.get_live(now):
+        for peer in self._state.members.get_live(now):
             theirs = peer.report.view_offsets
             newer = any(map(operator.gt, theirs, own))
             if newer and (best is None or theirs > best[0]):
                 best = (theirs, peer)
         return best[1] if best else None
 
+    def _get_own_offsets(self):
+        state = self._state
+        quarantine = state.quarantine_offset
+        if state.catalog_known and state.directory_known and not state.quarantine_known:
+            # Who stopped reading before it had listed an empty topic would wait for
+            # ever for a peer that looks newer, and never be ready.
+            quarantine = _NEVER_READ
+        return (state.catalog_offset, state.directory_offset, quarantine)
+
     def fetch(self, peer):
         """Take the peer's view in; return whether it could be had."""
         host = peer.address.rpartition(":")[0]
--- a/packages/valeweir_gateway/tests/test_duties.py
+++ b/packages/valeweir_gateway/tests/test_duties.py
@@ -104,6 +104,8 @@
         self.fleet = next(f for f in self.wire.fleets.values() if not f.plan.is_relay)
         state = self.fleet._state
         state.freshness.get_age = lambda now: 0.5
+        state.catalog_known = state.directory_known = True
+        state.quarantine_known = True
         self.duty = make_duty(self.fleet)
         follower = SimpleNamespace(end=0)
         self.sync = ViewSync(
@@ -128,6 +130,25 @@
         self.wire.now += 9.0
         self.assertFalse(self.duty.reads_store())
 
+    def test_an_empty_topic_that_was_never_read_is_asked_for(self):
+        """A gateway that stopped reading before it had listed one was never ready.
+
+        The quarantines are few: an empty topic looked no newer at any peer.
+        """
+        state = self.fleet._state
+        state.directory_offset = 7
+        state.quarantine_known = False
+        self.can_fetch = True
+        self.assertTrue(self.sync.catch_up(self.wire.now))
+
+    def test_nobody_is_asked_for_it_by_who_knows_nothing(self):
+        """All start at once, and would ask each other for what none has."""
+        state = self.fleet._state
+        state.directory_offset = 7
+        state.quarantine_known = False
+        state.directory_known = False
+        self.assertIsNone(self.sync.catch_up(self.wire.now))
+
     def test_nothing_newer(self):
         self.fleet._state.directory_offset = 7
         self.assertIsNone(self.sync.catch_up(self.wire.now))
