--- a/packages/valeweir_gateway/src/valeweir_gateway/catalog.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/catalog.py
@@ -1,5 +1,6 @@
 """The configuration in force: routes, services, client accounts and limits."""
 
+import collections
 from enum import StrEnum
 from typing import NamedTuple
 
@@ -95,6 +96,33 @@
     tokens_per_second: float = 0.0
 
 
+class _HostRoutes:
+    """The routes of one host by prefix.
+
+    Looked up by each length that a prefix has, the longest first: thousands of routes
+    have few lengths.
+    """
+
+    def __init__(self):
+        self._by_prefix = {}
+        self._lengths = []
+
+    def add(self, route):
+        """Add a route; the first one of a prefix counts."""
+        self._by_prefix.setdefault(route.prefix, route)
+        if len(route.prefix) not in self._lengths:
+            self._lengths.append(len(route.prefix))
+            self._lengths.sort(reverse=True)
+
+    def find(self, path):
+        """Return the route with the longest prefix of ``path``, or None."""
+        for length in self._lengths:
+            route = self._by_prefix.get(path[:length])
+            if route is not None:
+                return route
+        return None
+
+
 class Catalog:
     """One version of the configuration, indexed for look-ups; never changed."""
 
@@ -104,11 +132,9 @@
         self.accounts = {account.name: account for account in accounts}
         self.limits = limits
         self.routes = tuple(routes)
-        self._by_host = {}
+        self._by_host = collections.defaultdict(_HostRoutes)
         for route in routes:
-            self._by_host.setdefault(route.host.lower(), []).append(route)
-        for rows in self._by_host.values():
-            rows.sort(key=lambda route: len(route.prefix), reverse=True)
+            self._by_host[route.host.lower()].add(route)
         self._by_key = {key: a for a in accounts for key in a.keys}
 
     @property
@@ -118,13 +144,9 @@
 
     def find_route(self, host, path):
         """Return the route with the longest prefix of ``path``, or None."""
-        rows = self._by_host.get(host.lower())
-        if rows is None:
-            rows = self._by_host.get(host.lower().partition(":")[0], ())
-        for route in rows:
-            if path.startswith(route.prefix):
-                return route
-        return None
+        name = host.lower()
+        routes = self._by_host.get(name) or self._by_host.get(name.partition(":")[0])
+        return routes.find(path) if routes else None
 
     def find_account(self, key):
         """Return the account that holds ``key``, or None."""
--- a/packages/valeweir_gateway/tests/test_catalog.py
+++ b/packages/valeweir_gateway/tests/test_catalog.py
@@ -45,6 +45,17 @@
             with self.subTest(host=host, path=path):
                 self.assertEqual(self.catalog.find_route(host, path).name, name)
 
+    def test_a_path_that_no_prefix_begins(self):
+        catalog = make_catalog(routes=[make_route("a", "h", "/x/")])
+        for path in ("/", "/x", "/xx/", "/y/x/", ""):
+            with self.subTest(path=path):
+                self.assertIsNone(catalog.find_route("h", path))
+
+    def test_the_first_of_two_routes_with_one_prefix(self):
+        rows = [make_route("first", "h", "/x/"), make_route("second", "h", "/x/")]
+        found = make_catalog(routes=rows).find_route("h", "/x/1")
+        self.assertEqual(found.name, "first")
+
     def test_unknown_host(self):
         self.assertIsNone(self.catalog.find_route("other", "/"))
 
