--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -46,6 +46,7 @@
         self.state = state
         self.stopped = threading.Event()
         self.timers = TimerService(state.clock)
+        self._store = adapter.store
         self._clients = clients
         self._ready = ready
         listen = state.cfg.listen
@@ -80,9 +81,7 @@
         state = self.state
         state.log.start()
         state.log.note("started", settings=state.cfg.listen.clients)
-        port = state.cfg.listen.reports.rpartition(":")[2]
-        for seed in state.cfg.seeds:
-            state.members.add_address(f"{seed.rpartition(':')[0]}:{port}")
+        self._add_seeds()
         for follower in self._followers:
             follower.start(self.stopped)
         self._sync.start(self.stopped)
@@ -133,14 +132,26 @@
         self._loop.call_soon_threadsafe(self._loop.stop)
 
     def reload(self, cfg):
-        """Put settings in force that may change while the gateway runs."""
-        self.state.cfg = cfg
+        """Put settings in force that may change while the gateway runs.
+
+        The rest, as addresses to listen on, wait for the next start.
+        """
+        before, self.state.cfg = self.state.cfg, cfg
+        if cfg.store.address != before.store.address:
+            self._store.move(cfg.store.address)
+        self._add_seeds()
         retries = self.state.retries
         retries.ratio = cfg.retries.ratio
         retries.slack = cfg.retries.slack
         retries.window = cfg.retries.window
         self.state.log.note("settings reloaded")
 
+    def _add_seeds(self):
+        cfg = self.state.cfg
+        port = cfg.listen.reports.rpartition(":")[2]
+        for seed in cfg.seeds:
+            self.state.members.add_address(f"{seed.rpartition(':')[0]}:{port}")
+
     def _run_loop(self):
         asyncio.set_event_loop(self._loop)
         self._loop.run_forever()
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -167,6 +167,32 @@
         return int(min(_MOST_INFLIGHT, max(_LEAST_INFLIGHT, room)))
 
 
+class SettingsFile:
+    """A file that holds a gateway's settings, and may change at any time."""
+
+    def __init__(self, path):
+        self._path = Path(path)
+        self._mark = None
+
+    def load(self):
+        """Return the `GatewaySettings` in the file; raises `SettingsError`."""
+        # Before reading: a change meanwhile is then seen as one.
+        self._mark = self._get_mark()
+        return load_settings(self._path)
+
+    def has_changed(self):
+        """Return whether the file is another than when it was last read."""
+        return self._get_mark() != self._mark
+
+    def _get_mark(self):
+        try:
+            found = self._path.stat()
+        except OSError:
+            # It may be on its way to its place; reading it will tell.
+            return None
+        return (found.st_ino, found.st_mtime_ns, found.st_size)
+
+
 def load_settings(path):
     """Return the `GatewaySettings` in a file; raises `SettingsError`."""
     try:
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -55,6 +55,9 @@
     def read(self, topic, offset, wait, anew=False):
         """Return a `Batch`, waiting up to ``wait`` seconds for a record."""
 
+    def move(self, address):
+        """Make later calls at another address, where the same store is."""
+
     def put(self, topic, key, value, at=None):
         """Append a record; may have taken effect when it raises.
 
