--- a/packages/valeweir_gateway/src/valeweir_gateway/catching_up.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/catching_up.py
@@ -2,8 +2,7 @@
 
 What it knows of upstreams, evacuations and the configuration is as old as its
 standstill, and the requests that waited in the kernel meanwhile are read before any
-news. Without this wait a gateway that was paused for 3 s sent 11 to 13 of 24 of them to
-an upstream that had left, wherever the store took 20 ms and more to answer.
+news.
 """
 
 from .duties import get_longest_age
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/follower.py
@@ -0,0 +1,349 @@
+"""Keeping up with a topic of the platform's store."""
+
+import threading
+from typing import NamedTuple
+
+from valeweir.exceptions import PlatformUnavailable
+
+from .beliefs import STORE, Taken
+from .stores import HistoryExpired, Unanswered
+from .topics import TopicRecords
+
+_FIRST_PAUSE = 0.1
+_LONGEST_PAUSE = 1.0
+_IDLE_CHECK = 0.15
+_SERIES_PAUSE = 0.2
+# Characters of a key on a line of the log.
+_LONGEST_KEY = 120
+# Seconds beyond a call's own wait after which the store counts as having been
+# away: a hundred times its usual answer of some milliseconds.
+_LATE_ANSWER = 0.5
+# Seconds beyond a call's own wait after which its answer counts as overdue: what a slow
+# store takes.
+_OVERDUE = 0.3
+
+
+class Asked(NamedTuple):
+    """A call under way.
+
+    ``at`` is when it began, ``wait`` how long the store may keep it, in seconds, and
+    ``stalled`` for how long this process had stood still until then.
+    """
+
+    at: float
+    wait: float
+    stalled: float
+
+
+class TopicFollower:
+    """Keeps up with a keyed topic: lists it, then waits for records.
+
+    Parameters
+    ----------
+    apply : callable
+        Called with each `Entry` that is newer than what was known of its key.
+    on_listed : callable
+        Called with the end offset after each listing or batch has been applied.
+    poll : callable
+        Returns how long a call waits for a record, in seconds.
+    is_wanted : callable
+        Returns whether to read now; a gateway that takes its view from a peer
+        reads nothing itself.
+    on_heard : callable
+        Called with the topic and the time as of which it is known whole, after what
+        the store answered has been applied.
+    on_regained : callable
+        Called with the time when the store answers after it was away, before
+        what it answered is applied.
+    get_stalled : callable
+        Returns for how many seconds this process has stood still so far.
+    on_taken : callable
+        Called with the topic and the `beliefs.Taken` of each listing or batch.
+    """
+
+    def __init__(
+        self,
+        store,
+        topic,
+        apply,
+        on_listed,
+        log,
+        poll,
+        clock,
+        is_wanted=lambda: True,
+        on_heard=lambda topic, as_of: None,
+        on_regained=lambda now: None,
+        on_taken=lambda topic, taken: None,
+        get_stalled=lambda: 0.0,
+    ):
+        self._store = store
+        self._topic = topic
+        self._records = TopicRecords(apply, self._note_unapplied)
+        self._on_listed = on_listed
+        self._log = log
+        self._poll = poll
+        self._clock = clock
+        self._is_wanted = is_wanted
+        self._next = None
+        self._lock = threading.RLock()
+        self._pause = _FIRST_PAUSE
+        self._available = None
+        # The call that the follower's own thread makes now, or made last.
+        self._asked = None
+        self._is_calling = False
+        self._was_away = False
+        # Calls in a row that their own limit ended.
+        self._unanswered = 0
+        self.heard = None
+        self._whole_at = None
+        self._on_heard = on_heard
+        self._on_regained = on_regained
+        self._on_taken = on_taken
+        self._get_stalled = get_stalled
+
+    def run(self, stopped):
+        """Follow until ``stopped`` is set; the body of a thread."""
+        while not stopped.is_set():
+            if not self._is_wanted():
+                stopped.wait(_IDLE_CHECK)
+                continue
+            before = self.end
+            if not self.follow_once():
+                stopped.wait(self._pause)
+                self._pause = min(self._pause * 2, _LONGEST_PAUSE)
+            elif self.end != before:
+                # Changes come in series; one call then brings several.
+                stopped.wait(_SERIES_PAUSE)
+
+    def start(self, stopped):
+        """Follow in a thread of its own."""
+        threading.Thread(
+            target=self.run, args=(stopped,), name=f"follow-{self._topic}", daemon=True
+        ).start()
+
+    def follow_once(self):
+        """Make one call; return whether it succeeded."""
+        try:
+            if self._next is None:
+                self._list()
+            else:
+                self._read()
+        except HistoryExpired:
+            self._log.note("history expired", topic=self._topic, offset=self._next)
+            self._next = None
+        except Unanswered as exc:
+            self._note_unanswered(str(exc))
+            return False
+        except PlatformUnavailable as exc:
+            self._note_away(self._asked, str(exc))
+            return False
+        except Exception as exc:
+            # A record that nobody foresaw must not end the following of others.
+            self._log.note(
+                "following failed", failed=True, topic=self._topic, why=repr(exc)
+            )
+            return False
+        finally:
+            self._is_calling = False
+        self._pause = _FIRST_PAUSE
+        self._unanswered = 0
+        self._set_available(True, "")
+        return True
+
+    def refresh(self):
+        """Read what is new on a connection of its own; return whether it could be had.
+
+        May be called while the follower's own call waits: that one cannot tell a quiet
+        store from a connection that nothing passes any more.
+        """
+        asked = self._make_asked(0.0)
+        try:
+            self._read_anew(asked)
+        except PlatformUnavailable as exc:
+            self._note_away(asked, str(exc))
+            return False
+        self._set_available(True, "")
+        return True
+
+    def is_waiting(self, now, seconds):
+        """Return whether the follower's own call has lasted for longer than that."""
+        return self._is_calling and now - self._asked.at > seconds
+
+    def is_overdue(self, now):
+        """Return whether the answer to the follower's own call should have come."""
+        return self._is_calling and now - self._asked.at > self._asked.wait + _OVERDUE
+
+    @property
+    def unapplied(self):
+        """Return how many records could not be applied yet."""
+        return len(self._records.get_unapplied())
+
+    def apply_again(self):
+        """Try once more what could not be applied."""
+        with self._lock:
+            self._records.apply_again(self._records.get_unapplied())
+
+    @property
+    def is_away(self):
+        """Return whether the store did not answer the last call."""
+        return self._available is False
+
+    @property
+    def topic(self):
+        """Return the name of the topic."""
+        return self._topic
+
+    def get_age(self, now):
+        """Return how long ago the topic was whole by the store's answers, or None."""
+        return None if self._whole_at is None else max(0.0, now - self._whole_at)
+
+    @property
+    def end(self):
+        """Return the offset up to which the topic is known whole."""
+        return self._records.end
+
+    def get_listing(self):
+        """Return what is known as a `Listing`, for a peer."""
+        with self._lock:
+            return self._records.get_listing()
+
+    def get_batch(self, offset):
+        """Return a `Batch` of what changed from ``offset`` on, None if not known."""
+        with self._lock:
+            return self._records.get_batch(offset)
+
+    def adopt(self, listing, source="peer"):
+        """Take in a peer's listing; older records than ours change nothing."""
+        self._take(self._records.take_listing, listing, source, True)
+
+    def adopt_batch(self, batch, source="peer"):
+        """Take in what a peer says has changed since our end."""
+        self._take(self._records.take_batch, batch, source, False)
+
+    def _list(self):
+        asked = self._begin_call(0.0)
+        listing = self._store.list_newest(self._topic)
+        self._note_answer(asked)
+        self._take(self._records.take_listing, listing, STORE, True)
+        self._next = listing.end
+        self._note_heard(asked.at)
+
+    def _read(self):
+        # What a peer has told meanwhile need not be read again.
+        start = self._next = max(self._next, self.end)
+        asked = self._begin_call(self._poll())
+        try:
+            batch = self._store.read(self._topic, start, asked.wait)
+        except HistoryExpired:
+            self._note_answer(asked)
+            raise
+        self._note_answer(asked)
+        self._take(self._records.take_batch, batch, STORE, False)
+        self._next = batch.end
+        # The store answers without a record only once it has waited for one.
+        waited = 0.0 if batch.entries else asked.wait
+        self._note_heard(min(asked.at + waited, self._clock()))
+
+    def _read_anew(self, asked):
+        try:
+            batch = self._store.read(self._topic, self.end, asked.wait, anew=True)
+        except HistoryExpired:
+            listing = self._store.list_newest(self._topic, anew=True)
+            self._note_answer(asked)
+            self._take(self._records.take_listing, listing, STORE, True)
+        else:
+            self._note_answer(asked)
+            self._take(self._records.take_batch, batch, STORE, False)
+        self._note_heard(asked.at)
+
+    def _begin_call(self, wait):
+        self._asked = self._make_asked(wait)
+        self._is_calling = True
+        return self._asked
+
+    def _make_asked(self, wait):
+        return Asked(self._clock(), wait, self._get_stalled())
+
+    def _note_heard(self, as_of):
+        self.heard = self._clock()
+        if self.unapplied:
+            # Nobody may rely on what has been read and is not in force.
+            return
+        self._whole_at = as_of
+        self._on_heard(self._topic, as_of)
+
+    def _note_unapplied(self, entry, exc):
+        self._log.note(
+            "record not applied",
+            failed=True,
+            topic=self._topic,
+            key=entry.key[:_LONGEST_KEY],
+            offset=entry.offset,
+            why=repr(exc),
+        )
+
+    def _note_unanswered(self, why):
+        """Tell of a call that its own limit ended.
+
+        It may only have lost its connection, and the next call has a new one: an outage
+        shows itself to that, or to calls made anew as the view grew old. Taken for one,
+        the silence would keep upstreams that left in use for two seconds more.
+        """
+        now = self._clock()
+        age = self.get_age(now)
+        self._log.note(
+            "store call unanswered",
+            failed=True,
+            topic=self._topic,
+            waited_s=round(now - self._asked.at, 3),
+            allowed_s=round(self._asked.wait, 3),
+            topic_age_s=None if age is None else round(age, 3),
+        )
+        self._unanswered += 1
+        if self._unanswered > 1:
+            self._note_away(self._asked, why)
+
+    def _note_away(self, asked, why):
+        """Note that the store is away, unless this process had no time to hear it."""
+        if self._get_stalled() - asked.stalled <= _LATE_ANSWER:
+            self._was_away = True
+        self._set_available(False, why)
+
+    def _note_answer(self, asked):
+        """Tell where this answer ends a time in which the store was away."""
+        now = self._clock()
+        stalled = self._get_stalled() - asked.stalled
+        late = now - asked.at - asked.wait
+        if late > _LATE_ANSWER:
+            self._log.note(
+                "store answered late",
+                topic=self._topic,
+                late_s=round(late, 3),
+                stalled_s=round(stalled, 3),
+            )
+        # An answer that lay here unread is no outage: an upstream whose record went
+        # meanwhile has left, and would get work for two seconds more.
+        if self._was_away or late - stalled > _LATE_ANSWER:
+            self._on_regained(now)
+        self._was_away = False
+
+    def _take(self, take, told, source, is_listing):
+        """Take in what was told, by the `TopicRecords` method ``take``."""
+        with self._lock:
+            begin = self.end
+            unapplied = self._records.get_unapplied()
+            take(told)
+            self._records.apply_again(unapplied)
+            taken = Taken(begin, self.end, source, is_listing, self._clock())
+            self._on_taken(self._topic, taken)
+            self._on_listed(self.end)
+
+    def _set_available(self, available, why):
+        if available == self._available:
+            return
+        self._available = available
+        event = "store regained" if available else "store lost"
+        age = None if self.heard is None else round(self._clock() - self.heard, 3)
+        self._log.note(
+            event, failed=not available, topic=self._topic, why=why, view_age_s=age
+        )
--- a/packages/valeweir_gateway/src/valeweir_gateway/following.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/following.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 from urllib.parse import parse_qs
 
-from .stores import TopicFollower
+from .follower import TopicFollower
 from .syncing import VIEW_PATH, encode_view, make_topic_view
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/freshness.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/freshness.py
@@ -5,8 +5,7 @@
 spoke is not known, but it answers to a stamp of this gateway's own clock and so spoke
 after that. Time on the way, in queues and in pauses therefore makes a view look older
 than it is and never younger, and passing an age round renews nothing. Counted from
-its arrival instead, an age was renewed by each message under way: with 70 gateways and
-0.1 s on the way a view counted as new 4 s too long.
+its arrival instead, an age would be renewed by each message under way.
 """
 
 import threading
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -165,7 +165,7 @@
             # Ages count from when the peer was asked, as it spoke after that. Counted
             # from their arrival, the return of the store moved on with each view that
             # gateways exchanged, and with it the time for which records that go are
-            # believed to come back: by 2 s in 20 views of 0.2 s each.
+            # believed to come back.
             self._state.lapses.note_regained(asked - view.regained_age)
         adopt_view(self._catalog, view.catalog, source)
         adopt_view(self._instances, view.instances, source)
--- a/packages/valeweir_gateway/tests/test_stores.py
+++ b/packages/valeweir_gateway/tests/test_follower.py
@@ -1,7 +1,8 @@
 import unittest
 
 from valeweir.exceptions import PlatformUnavailable
-from valeweir_gateway.stores import HistoryExpired, TopicFollower, Unanswered
+from valeweir_gateway.follower import TopicFollower
+from valeweir_gateway.stores import HistoryExpired, Unanswered
 from valeweir_gateway.topics import Batch, Entry, Listing
 
 
