--- a/packages/valeweir_gateway/src/valeweir_gateway/refreshing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/refreshing.py
@@ -40,12 +40,12 @@
     def check(self, now):
         """Do what is due; calls of the store are made before it returns."""
         self._apply_again(now)
-        if now < self._next or not self._duty.reads_store():
+        if now < self._next or not self._is_due(now) or not self._duty.reads_store():
             return
-        if not self._is_due(now):
+        waiting = [row for row in self._followers if row.is_waiting(now, _LEAST_WAIT)]
+        if not waiting:
             return
         self._next = now + _PAUSE
-        waiting = [row for row in self._followers if row.is_waiting(now, _LEAST_WAIT)]
         # Where one is answered there is no outage; where one is not, none would be.
         all(follower.refresh() for follower in waiting)
 
--- a/packages/valeweir_gateway/tests/test_refreshing.py
+++ b/packages/valeweir_gateway/tests/test_refreshing.py
@@ -71,6 +71,15 @@
         self.followers[0].waiting = False
         self.assertEqual(self.check(101.5), 2)
 
+    def test_a_call_that_has_just_begun_is_given_a_moment(self):
+        """It may have lost its connection too, and must not put the next look off."""
+        for row in self.followers:
+            row.waiting = False
+        self.assertEqual(self.check(101.5), 0)
+        for row in self.followers:
+            row.waiting = True
+        self.assertEqual(self.check(101.7), 3)
+
     def test_an_outage_costs_one_call(self):
         self.followers[0].answered = False
         self.assertEqual(self.check(101.5), 1)
