--- a/packages/valeweir_gateway/src/valeweir_gateway/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/follower.py
@@ -267,7 +267,6 @@
     def _note_heard(self, as_of):
         self.heard = self._clock()
         if self.unapplied:
-            # Nobody may rely on what has been read and is not in force.
             return
         self._whole_at = as_of
         self._on_heard(self._topic, as_of)
--- a/packages/valeweir_gateway/src/valeweir_gateway/freshness.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/freshness.py
@@ -42,15 +42,22 @@
         self._lock = threading.Lock()
         # Rises when peers should soon be told.
         self.news = 0
+        # Returns whether a record that has been read is not in force: ends then say
+        # that more is known than is, and nothing makes the view newer.
+        self.is_held = lambda: False
 
     def note_answer(self, topic, as_of):
         """Note that the store's answers on a topic are whole as of a time."""
+        if self.is_held():
+            return
         with self._lock:
             self._answered[topic] = max(as_of, self._answered.get(topic, as_of))
             self._announce()
 
     def note_peer(self, as_of):
         """Note that a peer whose view is no newer than ours had it whole then."""
+        if self.is_held():
+            return
         with self._lock:
             self._told = as_of if self._told is None else max(as_of, self._told)
             self._announce()
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -57,6 +57,7 @@
         )
         self._keeper = ViewKeeper(state, adapter)
         self._followers = create_followers(state, adapter, duty, self._keeper)
+        state.freshness.is_held = self._is_held
         self._views = create_server(
             listen.fleet,
             create_plain_handler(
@@ -173,6 +174,10 @@
         while self.state.clock() < deadline and not is_done():
             time.sleep(_STOP_POLL)
 
+    def _is_held(self):
+        followers = (self._followers.catalog, self._followers.instances)
+        return any(follower.unapplied for follower in followers)
+
     def _update_gauges(self):
         state = self.state
         gauges = state.metrics
--- a/packages/valeweir_gateway/tests/test_freshness.py
+++ b/packages/valeweir_gateway/tests/test_freshness.py
@@ -23,6 +23,14 @@
     def check(self, age):
         self.assertEqual(self.freshness.get_age(20.0), age)
 
+    def test_nothing_makes_a_view_newer_that_is_not_all_in_force(self):
+        self.freshness.note_peer(12.0)
+        self.freshness.is_held = lambda: True
+        for topic in ("catalog", "instances"):
+            self.freshness.note_answer(topic, 19.0)
+        self.freshness.note_peer(19.0)
+        self.check(8.0)
+
     def test_the_older_of_the_topics_counts(self):
         self.check(None)
         self.freshness.note_answer("catalog", 19.0)
