--- a/packages/valeweir_gateway/src/valeweir_gateway/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/follower.py
@@ -165,6 +165,10 @@
         self._set_available(True, "")
         return True
 
+    def note_outage(self):
+        """Note that the store is away, as another topic's new call has shown."""
+        self._was_away = True
+
     def is_waiting(self, now, seconds):
         """Return whether the follower's own call has lasted for longer than that."""
         return self._is_calling and now - self._asked.at > seconds
--- a/packages/valeweir_gateway/src/valeweir_gateway/refreshing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/refreshing.py
@@ -46,8 +46,10 @@
         if not waiting:
             return
         self._next = now + _PAUSE
-        # Where one is answered there is no outage; where one is not, none would be.
-        all(follower.refresh() for follower in waiting)
+        if not all(follower.refresh() for follower in waiting):
+            # The rest would wait as long in vain; what ends an outage counts for all.
+            for follower in waiting:
+                follower.note_outage()
 
     def _is_due(self, now):
         age = self._state.freshness.get_age(now)
--- a/packages/valeweir_gateway/tests/test_follower.py
+++ b/packages/valeweir_gateway/tests/test_follower.py
@@ -226,6 +226,13 @@
         self.assertTrue(self.follower.refresh())
         self.assertEqual(self.regained, [7.0])
 
+    def test_an_outage_that_another_topic_has_shown(self):
+        self.follow(Listing([], 4))
+        self.follower.note_outage()
+        self.store.results = [Batch([], 4)]
+        self.follower.follow_once()
+        self.assertEqual(self.regained, [7.0])
+
     def test_calls_under_way(self):
         now = []
         self.follow(Listing([], 4))
--- a/packages/valeweir_gateway/tests/test_refreshing.py
+++ b/packages/valeweir_gateway/tests/test_refreshing.py
@@ -22,11 +22,15 @@
         self.waiting = True
         self.overdue = False
         self.answered = True
+        self.outages = 0
 
     def refresh(self):
         self.refreshed += 1
         return self.answered
 
+    def note_outage(self):
+        self.outages += 1
+
     def apply_again(self):
         self.applied += 1
 
@@ -84,6 +88,16 @@
         self.followers[0].answered = False
         self.assertEqual(self.check(101.5), 1)
 
+    def test_an_outage_is_one_for_every_topic(self):
+        """Else upstreams whose records lapsed would go before its end is known."""
+        self.followers[0].answered = False
+        self.check(101.5)
+        self.assertEqual([row.outages for row in self.followers], [1, 1, 1])
+
+    def test_a_silence_is_no_outage(self):
+        self.check(101.5)
+        self.assertEqual([row.outages for row in self.followers], [0, 0, 0])
+
     def test_an_overdue_answer_of_those_that_ask_often(self):
         self.followers[1].overdue = True
         self.assertEqual(self.check(100.5), 3)
