--- a/packages/valeweir_gateway/src/valeweir_gateway/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/servers.py
@@ -50,6 +50,7 @@
         self.max_connections = 1_000
         self.loop = None
         self._sock = None
+        self._resumption = None
         self._connections = set()
         self._tasks = set()
 
@@ -71,6 +72,10 @@
         if self._sock is not None:
             self.loop.remove_reader(self._sock)
             self._sock.close()
+            self._sock = None
+        if self._resumption is not None:
+            # It would listen on a socket that is closed.
+            self._resumption.cancel()
         for conn in list(self._connections):
             conn.close()
 
@@ -112,7 +117,7 @@
 
     def _pause_accepting(self, seconds):
         self.loop.remove_reader(self._sock)
-        self.loop.call_later(
+        self._resumption = self.loop.call_later(
             seconds, self.loop.add_reader, self._sock, self._accept_waiting
         )
 
--- a/packages/valeweir_gateway/tests/test_servers.py
+++ b/packages/valeweir_gateway/tests/test_servers.py
@@ -172,6 +172,25 @@
         second.sendall(GET % b"a")
         self.assertIn(b"/a", read_until(second, b"/a"))
 
+    def test_closed_while_it_is_full(self):
+        """Listening went on once more, on a socket that was closed."""
+        errors = []
+        self.loop.set_exception_handler(lambda loop, context: errors.append(context))
+        self.server.max_connections = 1
+        closed = threading.Event()
+        pause = self.server._pause_accepting
+
+        def pause_and_close(seconds):
+            pause(seconds)
+            self.server.close()
+            closed.set()
+
+        self.server._pause_accepting = pause_and_close
+        self.connect()
+        self.assertTrue(closed.wait(3.0))
+        time.sleep(0.1)
+        self.assertEqual(errors, [])
+
 
 class TestStreams(ServerCase):
     async def handle(self, request, reply):
