--- a/packages/valeweir_cli/src/valeweir_cli/explain.py
+++ b/packages/valeweir_cli/src/valeweir_cli/explain.py
@@ -6,6 +6,7 @@
 import click
 import msgspec
 
+from .causes import find_causes
 from .loglines import read_logs
 from .losses import GROUPS, count_by_time, find_losses, tabulate
 
@@ -75,19 +76,30 @@
     lines = _find_lines(reading.lines, request_id)
     if not lines:
         _fail(f"{request_id}: neither a file nor the id of a request in the logs")
+    causes = find_causes(reading.lines, request_id)
     if as_json:
         rows = [{"at": line.at, **line.fields} for line in lines]
+        rows += [{"at": at.at, **at.fields, "cause": text} for at, text in causes]
+        rows.sort(key=lambda row: row["at"])
         click.echo(msgspec.json.encode(rows).decode())
         return
     start = lines[0].at
     for line in lines:
         shown = {k: v for k, v in line.fields.items() if k not in _HIDDEN}
         text = " ".join(f"{key}={value}" for key, value in shown.items())
-        offset = (line.at - start) * 1000.0
-        click.echo(f"{offset:+10.1f} ms  {line.host}  {line.event}  {text}")
+        _print_line(line, start, text)
+    if causes:
+        click.echo("Around it, at the same gateway:")
+    for line, text in causes:
+        _print_line(line, start, text)
     _print_remarks(reading)
 
 
+def _print_line(line, start, text):
+    offset = (line.at - start) * 1000.0
+    click.echo(f"{offset:+10.1f} ms  {line.host}  {line.event}  {text}")
+
+
 def _find_lines(lines, request_id):
     """Return the lines of a request, and what other tries of the same one led to."""
     own = [line for line in lines if line.request_id == request_id]
--- a/packages/valeweir_cli/tests/test_explain.py
+++ b/packages/valeweir_cli/tests/test_explain.py
@@ -160,6 +160,42 @@
         rows = json.loads(self.run_explain(self.path, "q2", "--json").output)
         self.assertEqual([row["at"] for row in rows], [0.0, 1.0, 4.0])
 
+    def test_what_the_gateway_went_through(self):
+        """Named beside the request, at its own gateway and about its time only."""
+        stalled = ("process stalled", {"seconds": 1.5})
+        spoilt = ("bad record", {"key": "i-1", "why": "no address"})
+        born = ("upstream ready", {"upstream": "i-1@9"})
+        newer = ("configuration in force", {"version": 7})
+        silent = ("store call unanswered", {"waited_s": 6.0})
+        sent = ("send failed", {"id": "q", "upstream": "i-1@5", "waited_ms": 800.0})
+        denied = ("request refused", {"id": "q", "status": 404, "held_ms": 0.5})
+        cases = {
+            "stood still": (stalled, sent, 10.2, "stood still for 1.5 s"),
+            "stood still before": (stalled, sent, 8.0, None),
+            "another upstream": (spoilt, denied, 10.0, None),
+            "spoilt": (spoilt, sent, 9.0, "spoilt the record of upstream i-1"),
+            "spoilt long before": (spoilt, sent, 2.0, None),
+            "a new life": (born, sent, 10.1, "i-1@5 had ended and started anew"),
+            "in force later": (newer, denied, 11.5, "only 1.50 s later"),
+            "in force before": (newer, denied, 9.5, None),
+            "no denial": (newer, sent, 11.5, None),
+            "silent store": (silent, denied, 12.0, "waited 6 s for a silent store"),
+            "silent later": (silent, denied, 17.0, None),
+        }
+        for name, ((event, more), (own, fields), at, found) in cases.items():
+            with self.subTest(name):
+                rows = [
+                    {"time": 10.0, "event": own, "host": "h-1", **fields},
+                    {"time": at, "event": event, "host": "h-1", **more},
+                    {"time": at, "event": event, "host": "h-2", **more},
+                ]
+                self.path.write_text("\n".join(map(json.dumps, rows)))
+                output = self.run_explain(self.path, "q").output
+                self.assertEqual(output.count("same gateway"), int(found is not None))
+                self.assertIn(found or "", output)
+                rows = json.loads(self.run_explain(self.path, "q", "--json").output)
+                self.assertEqual(len(rows), 1 + int(found is not None))
+
     def test_json(self):
         result = self.run_explain(self.path, "--json")
         value = json.loads(result.output)
