--- a/packages/valeweir_gateway/src/valeweir_gateway/domains.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/domains.py
@@ -11,9 +11,11 @@
 
 from .sockets import connect_blocking
 
-PROBE_INTERVAL = 0.3
-_PROBE_TIMEOUT = 0.2
-_EVIDENCE_SECONDS = 3.0
+PROBE_CHECK_S = 0.3
+# Within the evidence's lifetime, so that a failed probe counts until the next one.
+_PROBE_INTERVAL_S = 1.0
+_PROBE_TIMEOUT_S = 0.2
+_EVIDENCE_LIFETIME_S = 3.0
 
 
 class Domains:
@@ -44,7 +46,7 @@
             return frozenset(
                 domain
                 for domain, at in self._failed.items()
-                if domain in silent and now - at < _EVIDENCE_SECONDS
+                if domain in silent and now - at < _EVIDENCE_LIFETIME_S
             )
 
 
@@ -54,12 +56,22 @@
     def __init__(self, state, connect=connect_blocking):
         self._state = state
         self._connect = connect
+        self._probed_at = {}
 
     def probe(self):
-        """Probe each silent domain once, and note what that says of it."""
+        """Probe each silent domain that is due, and record the result."""
         state = self._state
-        silent = state.members.get_silent_domains(state.clock())
+        now = state.clock()
+        silent = state.members.get_silent_domains(now)
+        for domain in self._probed_at.keys() - silent:
+            del self._probed_at[domain]
         for domain in silent - {state.cfg.domain}:
+            if (
+                now - self._probed_at.get(domain, -_PROBE_INTERVAL_S)
+                < _PROBE_INTERVAL_S
+            ):
+                continue
+            self._probed_at[domain] = now
             instance = self._pick(domain)
             if instance is not None:
                 self._note(domain, self._is_reachable(instance))
@@ -71,7 +83,7 @@
 
     def _is_reachable(self, instance):
         try:
-            self._connect(instance.address, _PROBE_TIMEOUT).close()
+            self._connect(instance.address, _PROBE_TIMEOUT_S).close()
         except OSError:
             return False
         return True
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -170,6 +170,7 @@
 
     def _note_plan(self, plan):
         old, self.plan = self.plan, plan
+        self._state.members.is_relay = plan.is_relay
         relay = plan.relay.host if plan.relay else None
         if old is None or (old.is_relay, old.relay) != (plan.is_relay, plan.relay):
             self._state.log.note(
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -9,7 +9,7 @@
 from . import blaming, metrics
 from .caches import CacheScout
 from .decisions import DecisionLog
-from .domains import PROBE_INTERVAL, DomainProber
+from .domains import PROBE_CHECK_S, DomainProber
 from .duties import StoreDuty
 from .fleet import create_fleet
 from .following import create_followers, create_view_handler
@@ -98,7 +98,7 @@
             "quarantine", _STALE_CHECK, lambda: blaming.end_old(state)
         )
         self.timers.subscribe("caches", _CACHE_CHECK, self._scout.find_new)
-        self.timers.subscribe("domains", PROBE_INTERVAL, self._prober.probe)
+        self.timers.subscribe("domains", PROBE_CHECK_S, self._prober.probe)
         self.timers.subscribe("limits", _STALE_CHECK, self._apply_limits)
         self.timers.start()
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/members.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/members.py
@@ -13,6 +13,7 @@
 _FORGET_AFTER = 30.0
 _DOMAIN_SILENCE = 0.9
 _ANSWER_WAIT = 1.0
+_FIGURES = frozenset((Role.UP, Role.ACROSS, Role.DOWN))
 # Gateways up to which everybody reports to everybody and reads the store itself.
 MESH_LIMIT = 16
 
@@ -41,11 +42,16 @@
 
 
 class Peer(NamedTuple):
-    """The latest report of one gateway; ``heard`` is on the steady clock."""
+    """The latest report of one gateway; ``heard`` is on the steady clock.
+
+    ``sends_figures`` tells whether it has reported figures here, which it then does all
+    the time, or has only answered when it was asked.
+    """
 
     address: str
     report: object
     heard: float
+    sends_figures: bool
 
     @property
     def host(self):
@@ -74,6 +80,8 @@
         self._unnamed = set()
         self._tried = {}
         self.peers = {}
+        # Whether other domains report here, as the exchange's plan says.
+        self.is_relay = True
 
     def __len__(self):
         return len(self._known)
@@ -118,7 +126,11 @@
             old = self.peers.get(report.host)
             if old is not None and not _is_later(report, old, now):
                 return None
-            peer = self.peers[report.host] = Peer(address, report, now)
+            sends_figures = report.role in _FIGURES or (
+                old is not None and old.sends_figures
+            )
+            peer = Peer(address, report, now, sends_figures)
+            self.peers[report.host] = peer
             member = Member(report.host, report.domain, address, report.capacity)
             self._put(member)
             self._tried.pop(report.host, None)
@@ -146,20 +158,25 @@
         return peer is not None and now - peer.heard < _SILENT_AFTER
 
     def get_silent_domains(self, now):
-        """Return the domains once heard from and not lately.
-
-        A relay's word counts for its group, which hears of others only by it.
-        """
-        known = set()
+        """Return the domains that reported to this gateway or its relay and stopped."""
+        if not self.is_relay:
+            return self._get_reported_silent(now)
+        reporting = set()
         heard = set()
-        told = set()
         for peer in list(self.peers.values()):
-            known.add(peer.report.domain)
+            if peer.sends_figures:
+                reporting.add(peer.report.domain)
             if now - peer.heard < _DOMAIN_SILENCE:
                 heard.add(peer.report.domain)
-                if peer.report.role == Role.DOWN:
-                    told.update(peer.report.silent)
-        return (known - heard) | told
+        return (reporting - heard) | self._get_reported_silent(now)
+
+    def _get_reported_silent(self, now):
+        """Return the silent domains that relays name in their reports to this one."""
+        silent = set()
+        for peer in list(self.peers.values()):
+            if now - peer.heard < _DOMAIN_SILENCE and peer.report.role == Role.DOWN:
+                silent.update(peer.report.silent)
+        return silent
 
     def drop_silent(self, now):
         """Forget and return the peers that have been silent for long."""
--- a/packages/valeweir_gateway/tests/test_fleet.py
+++ b/packages/valeweir_gateway/tests/test_fleet.py
@@ -231,9 +231,29 @@
         self.assertEqual(self.tried, ["i2:1"])
         self.assertEqual(self.get_cut(), {"y"})
         self.reachable = True
+        self.now = 9.0
         self.prober.probe()
         self.assertEqual(self.get_cut(), frozenset())
 
+    def test_a_long_silence_is_probed_once_a_second(self):
+        for tenth in range(50):
+            self.now = 8.0 + tenth / 10
+            self.prober.probe()
+            self.assertEqual(self.get_cut(), {"y"})
+        self.assertEqual(self.tried, ["i2:1"] * 5)
+
+    def test_a_new_silence_is_probed_at_once(self):
+        self.now = 8.0
+        self.prober.probe()
+        self.state.members.note(
+            make_report("b", seq=2, domain="y"), "10.0.0.2:7400", 8.1
+        )
+        self.now = 8.2
+        self.prober.probe()
+        self.now = 9.05
+        self.prober.probe()
+        self.assertEqual(self.tried, ["i2:1", "i2:1"])
+
 
 def make_wire(domains, size):
     wire = Wire(domains, size)
@@ -347,6 +367,32 @@
         self.assertLessEqual(most[120], 40)
         self.assertLess(most[120], 2 * most[60])
 
+    def test_who_answered_once_is_not_taken_for_silent(self):
+        """Seeds answer each gateway once, at its start, and report to relays only.
+
+        Taken for silent, their domains were probed by every gateway for half a minute:
+        one to two connections a second and gateway to upstreams that were well.
+        """
+        wire = make_wire(3, 60)
+        for state in wire.states.values():
+            for seed in ("10.0.0.1:7400", "10.0.1.1:7400", "10.0.2.1:7400"):
+                state.members.add_address(seed)
+        wire.run(8.0)
+        for host, state in wire.states.items():
+            self.assertEqual(state.members.get_silent_domains(wire.now), set(), host)
+
+    def test_a_domain_cut_off_is_known_to_every_gateway(self):
+        wire = self.start(3, 60)
+        inside = {h for h, s in wire.states.items() if s.cfg.domain == "d1"}
+        addresses = {wire.states[h].members.own.address for h in inside}
+        wire.is_cut = lambda sender, target: (
+            (sender in addresses) != (target in addresses)
+        )
+        wire.run(3.0)
+        for host in wire.states.keys() - inside:
+            silent = wire.states[host].members.get_silent_domains(wire.now)
+            self.assertEqual(silent, {"d1"}, host)
+
     def test_start_from_seeds_alone(self):
         wire = make_wire(3, 20)
         for state in wire.states.values():
