--- a/packages/valeweir_gateway/src/valeweir_gateway/duties.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/duties.py
@@ -5,6 +5,9 @@
 their relay tells them, is not known to be new enough.
 """
 
+import math
+import threading
+
 # All in seconds.
 # Of the time in which a leaving upstream must get no more: what it takes to notice an
 # old view (0.15), to call the store, to take in its answer, and to send.
@@ -19,8 +22,11 @@
 # At the start others may soon be heard that have read the store already.
 _MEMBERS_WAIT = 1.0
 _VIEW_WAIT = 2.0
+# Gateways that start together have written where they listen by the second time.
+_MEMBERS_READ_AGAIN = 2.5
 _MEMBERS_FOLLOWED = 5.0
 _OWN_READING = 5.0
+_WAIT = 0.5
 
 
 def get_longest_age(cfg):
@@ -42,12 +48,16 @@
         self._reads = None
         self._started = state.clock()
         self._own_until = 0.0
+        self._members_due = 0.0
+        self._changed = threading.Condition()
 
     def reads_store(self):
         """Return whether this gateway reads the store now."""
         reads = self._decide(self._state.clock())
         if reads != self._reads:
-            self._reads = self._state.reads_store = reads
+            with self._changed:
+                self._reads = self._state.reads_store = reads
+                self._changed.notify_all()
             now = self._state.clock()
             age = self._state.freshness.get_age(now)
             self._state.log.note(
@@ -58,16 +68,33 @@
             )
         return reads
 
+    def wait_reading(self, stopped):
+        """Return once this gateway reads the store, or after half a second."""
+        with self._changed:
+            self._changed.wait_for(lambda: self._reads or stopped.is_set(), _WAIT)
+
     def note_behind(self, now):
         """Read the store for a while: peers know more and do not tell it."""
         self._own_until = now + _OWN_READING
 
     def reads_members(self):
-        """Return whether this gateway still reads who else there is.
+        """Return whether to read now who else there is.
 
-        Later ones find the earlier ones and say so themselves.
+        Once at the start and once a little later: still later gateways find the
+        earlier ones and report to them.
         """
-        return self._state.clock() - self._started < _MEMBERS_FOLLOWED
+        uptime = self._state.clock() - self._started
+        return self._members_due <= uptime < _MEMBERS_FOLLOWED
+
+    def has_read_members(self):
+        """Return whether the list of members need not be read any more."""
+        uptime = self._state.clock() - self._started
+        return uptime >= _MEMBERS_FOLLOWED or self._members_due == math.inf
+
+    def note_members_read(self):
+        """Record that the list of members was read."""
+        is_first = self._state.clock() - self._started < _MEMBERS_READ_AGAIN
+        self._members_due = _MEMBERS_READ_AGAIN if is_first else math.inf
 
     def get_poll(self):
         """Return how long a call waits for a record, in seconds.
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import operator
 import random
 import socket
 import time
@@ -17,9 +18,16 @@
 from .reports import Role, decode_report, encode_report
 from .sums import Totals
 
-_TICK = 0.02
-# Seconds of an interval for each link, so that a relay of many sends less often.
-_TICK_PER_LINK = 0.001
+# Seconds between ticks: in a mesh or with many requests under way, behind relays,
+# and with nothing to report.
+_BUSY_INTERVAL_S = 0.02
+_RELAYED_INTERVAL_S = 0.05
+_QUIET_INTERVAL_S = 0.1
+# A relay of many links sends less often.
+_INTERVAL_PER_LINK_S = 0.002
+_MANY_INFLIGHT = 8
+# What depends on time alone (silence, expiry of usage) is recomputed this often.
+_REFRESH_INTERVAL_S = 0.1
 _HEARTBEAT = 0.3
 _COUNT_MEMORY = 30.0
 _ASK_INTERVAL = 1.0
@@ -41,6 +49,12 @@
         self._corrected = {}
         self._most = (1, 0.0)
         self._task = None
+        # Counts reports received; with the versions of what is reported it tells
+        # whether a tick has anything to do.
+        self._received = 0
+        self._done = None
+        self._refresh_at = 0.0
+        self._plan_basis = None
         self.plan = None
         self.sent_bytes = 0
 
@@ -57,16 +71,26 @@
         self._sock.close()
 
     async def _send(self):
-        interval = _TICK
-        due = self._state.clock() + interval
+        state = self._state
         while True:
+            interval = self._get_interval()
+            state.stalls.expect(interval)
+            due = state.clock() + interval
             await asyncio.sleep(interval)
-            now = self._state.clock()
-            self._state.stalls.tick()
-            self._state.pressure.note(now - due)
+            now = state.clock()
+            state.stalls.tick()
+            state.pressure.note(now - due)
             self._guard(self.tick, now)
-            interval = max(_TICK, _TICK_PER_LINK * len(self._links))
-            due = self._state.clock() + interval
+
+    def _get_interval(self):
+        state = self._state
+        if state.inflight == 0 and not self._has_news():
+            interval = _QUIET_INTERVAL_S
+        elif state.members.is_mesh or state.inflight >= _MANY_INFLIGHT:
+            interval = _BUSY_INTERVAL_S
+        else:
+            interval = _RELAYED_INTERVAL_S
+        return max(interval, _INTERVAL_PER_LINK_S * len(self._links))
 
     def _receive_waiting(self):
         """Take in datagrams that wait; some are left for the next turn."""
@@ -98,6 +122,9 @@
         fresh = not state.members.is_live(report.host, now)
         if state.members.note(report, address, now) is None:
             return
+        self._received += 1
+        if any(map(operator.gt, report.view_offsets, state.view_offsets)):
+            state.newer_view.set()
         for row in report.members:
             state.members.add(Member(*row))
         if report.role == Role.HELLO or self._is_misdirected(report, now):
@@ -142,12 +169,36 @@
 
     def tick(self, now):
         """Send what is due and take in the sums of what was reported."""
+        if now < self._refresh_at and not self._has_news():
+            return
+        versions = self._get_versions()
+        self._exchange(now)
+        self._done = versions
+        if now >= self._refresh_at:
+            self._refresh_at = now + _REFRESH_INTERVAL_S
+
+    def _has_news(self):
+        """Return whether there may be something to report or to take in."""
+        if any(link.reads or link.notices for link in self._links):
+            return True
+        return self._done != self._get_versions()
+
+    def _get_versions(self):
+        """Return what changes with everything that is reported."""
         state = self._state
-        for peer in state.members.drop_silent(now):
-            self._corrected.pop(peer.host, None)
-            state.log.note("peer lost", failed=True, peer=peer.host)
-        plan = make_plan(state.members, now)
-        self._note_plan(plan)
+        return (
+            self._received,
+            state.loads.version,
+            state.usage.version,
+            state.freshness.news,
+            state.stopping,
+            len(state.reads),
+            len(state.notices),
+        )
+
+    def _exchange(self, now):
+        state = self._state
+        plan = self._update_plan(now)
         own = make_own_totals(state, now)
         children = self._get_reports(plan.group, Role.UP, now)
         remote = Totals()
@@ -159,7 +210,6 @@
             remote.add_report(report)
         self._apply(remote, own.gateways + remote.gateways, now)
         everything = remote.joined(own) if children else own
-        self._links.update(plan)
         self._links.add_reads(state.reads.take())
         self._links.add_notices(_take_all(state.notices))
         for link in self._links:
@@ -168,6 +218,22 @@
             self._asked_at = now
             self._ask(plan, now)
 
+    def _update_plan(self, now):
+        """Return the plan, made anew where members changed or time has passed."""
+        state = self._state
+        basis = state.members.version
+        if self.plan is not None and basis == self._plan_basis:
+            if now < self._refresh_at:
+                return self.plan
+        for peer in state.members.drop_silent(now):
+            self._corrected.pop(peer.host, None)
+            state.log.note("peer lost", failed=True, peer=peer.host)
+        plan = make_plan(state.members, now)
+        self._plan_basis = basis
+        self._note_plan(plan)
+        self._links.update(plan)
+        return plan
+
     def _note_plan(self, plan):
         old, self.plan = self.plan, plan
         self._state.members.is_relay = plan.is_relay
--- a/packages/valeweir_gateway/src/valeweir_gateway/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/follower.py
@@ -11,7 +11,7 @@
 
 _FIRST_PAUSE = 0.1
 _LONGEST_PAUSE = 1.0
-_IDLE_CHECK = 0.15
+_IDLE_CHECK_S = 0.15
 _SERIES_PAUSE = 0.2
 # Characters of a key on a line of the log.
 _LONGEST_KEY = 120
@@ -57,6 +57,10 @@
         what it answered is applied.
     get_stalled : callable
         Returns for how many seconds this process has stood still so far.
+    wait_wanted : callable
+        Called with ``stopped`` while not wanted; returns after a while at most.
+    is_done : callable
+        Returns whether the topic need not be read any more.
     on_taken : callable
         Called with the topic and the `beliefs.Taken` of each listing or batch.
     """
@@ -75,6 +79,8 @@
         on_regained=lambda now: None,
         on_taken=lambda topic, taken: None,
         get_stalled=lambda: 0.0,
+        wait_wanted=lambda stopped: stopped.wait(_IDLE_CHECK_S),
+        is_done=lambda: False,
     ):
         self._store = store
         self._topic = topic
@@ -100,12 +106,14 @@
         self._on_regained = on_regained
         self._on_taken = on_taken
         self._get_stalled = get_stalled
+        self._wait_wanted = wait_wanted
+        self._is_done = is_done
 
     def run(self, stopped):
-        """Follow until ``stopped`` is set; the body of a thread."""
-        while not stopped.is_set():
+        """Follow until ``stopped`` is set or it is done; the body of a thread."""
+        while not stopped.is_set() and not self._is_done():
             if not self._is_wanted():
-                stopped.wait(_IDLE_CHECK)
+                self._wait_wanted(stopped)
                 continue
             before = self.end
             if not self.follow_once():
--- a/packages/valeweir_gateway/src/valeweir_gateway/following.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/following.py
@@ -6,6 +6,8 @@
 from .follower import TopicFollower
 from .syncing import VIEW_PATH, encode_view, make_topic_view
 
+_MEMBERS_CHECK_S = 0.3
+
 
 class Followers(NamedTuple):
     """One follower for each topic of the store."""
@@ -33,6 +35,8 @@
         on_heard=state.note_store_heard,
         poll=duty.get_poll,
         on_regained=state.lapses.note_regained,
+        wait_wanted=duty.wait_reading,
+        is_done=lambda: False,
     ):
         return TopicFollower(
             adapter.store,
@@ -47,8 +51,14 @@
             on_regained,
             state.note_taken,
             state.stalls.get_total,
+            wait_wanted,
+            is_done,
         )
 
+    def note_members(offset):
+        keeper.note_members(offset)
+        duty.note_members_read()
+
     return Followers(
         follow(adapter.catalog_topic, keeper.apply_catalog, keeper.note_catalog),
         follow(adapter.instance_topic, keeper.apply_instance, keeper.note_directory),
@@ -65,9 +75,12 @@
         follow(
             adapter.member_topic,
             keeper.apply_member,
-            keeper.note_members,
+            note_members,
             duty.reads_members,
             ignore,
+            poll=lambda: 0.0,
+            wait_wanted=lambda stopped: stopped.wait(_MEMBERS_CHECK_S),
+            is_done=duty.has_read_members,
         ),
     )
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -4,7 +4,7 @@
 import threading
 import time
 
-from valeweir.timers import TimerService, get_lease_time
+from valeweir.timers import get_lease_time
 
 from . import blaming, metrics
 from .caches import CacheScout
@@ -33,7 +33,6 @@
 _GRACE_MARGIN = 0.6
 _STALE_CHECK = 1.0
 _CACHE_CHECK = 0.2
-_LAPSE_CHECK = 0.05
 # Seconds for binding ports, and for closing them.
 _OPEN_WAIT = 10.0
 _CLOSE_WAIT = 2.0
@@ -45,7 +44,7 @@
     def __init__(self, state, adapter, clients, ready):
         self.state = state
         self.stopped = threading.Event()
-        self.timers = TimerService(state.clock)
+        self.timers = state.timers
         self._store = adapter.store
         self._clients = clients
         self._ready = ready
@@ -91,8 +90,6 @@
         self._scout.start(self.stopped)
         threading.Thread(target=self._run_loop, name="loop", daemon=True).start()
         asyncio.run_coroutine_threadsafe(self._open(), self._loop).result(_OPEN_WAIT)
-        self.timers.subscribe("lapses", _LAPSE_CHECK, self._keeper.end_lapses)
-        self.timers.subscribe("warm-ups", _LAPSE_CHECK, self._keeper.end_warm_ups)
         self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
         self.timers.subscribe(
             "quarantine", _STALE_CHECK, lambda: blaming.end_old(state)
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -42,6 +42,8 @@
         self._by_id = {}
         self._parts = {}
         self._listed = set()
+        # Rises when this gateway's own work changes.
+        self.version = 0
         self.rate = _FIRST_RATE
         self.base = _FIRST_BASE
         self.call_time = _FIRST_CALL_TIME
@@ -56,6 +58,7 @@
     def forget(self, instance_id):
         """Drop what is known of an instance that is gone."""
         with self._lock:
+            self.version += 1
             self._by_id.pop(instance_id, None)
             self._listed.discard(instance_id)
             for holders in self._parts.values():
@@ -143,6 +146,7 @@
             running = load.active + load.remote_active
             load.unread += tokens
             load.active += 1
+            self.version += 1
             if load.until and now >= load.until:
                 load.probing = True
             return Work(instance_id, tokens, ahead, running, now)
@@ -166,6 +170,7 @@
                 # The instance is gone.
                 return
             load.active = max(0, load.active - 1)
+            self.version += 1
             if not work.is_read:
                 self._note_read(work, load)
 
@@ -246,6 +251,7 @@
 
     def _note_read(self, work, load):
         work.is_read = True
+        self.version += 1
         load.unread = max(0, load.unread - work.tokens)
 
     def _learn(self, work, load, elapsed):
@@ -277,6 +283,9 @@
     def __init__(self):
         self._rows = collections.deque(maxlen=_MAX_READS)
 
+    def __len__(self):
+        return len(self._rows)
+
     def add(self, instance_id, parts):
         """Note that the instance reads these parts."""
         for part in parts:
--- a/packages/valeweir_gateway/src/valeweir_gateway/loops.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loops.py
@@ -7,7 +7,7 @@
     """A loop whose timers are due by a clock, and looked at when a wait ends.
 
     The kernel's waits count no suspended time. They end within a tick of the fleet's
-    exchange, 20 ms, and then all that fell due while the host was suspended is due.
+    exchange, and then all that fell due while the host was suspended is due.
     """
 
     def __init__(self, clock):
--- a/packages/valeweir_gateway/src/valeweir_gateway/members.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/members.py
@@ -80,6 +80,8 @@
         self._unnamed = set()
         self._tried = {}
         self.peers = {}
+        # Rises when a gateway is added, changes, or reports in another role.
+        self.version = 0
         # Whether other domains report here, as the exchange's plan says.
         self.is_relay = True
 
@@ -129,6 +131,8 @@
             sends_figures = report.role in _FIGURES or (
                 old is not None and old.sends_figures
             )
+            if old is None or old.report.role != report.role:
+                self.version += 1
             peer = Peer(address, report, now, sends_figures)
             self.peers[report.host] = peer
             member = Member(report.host, report.domain, address, report.capacity)
@@ -194,6 +198,7 @@
         old = self._known.get(member.host)
         if old == member or member.host == self.own.host:
             return
+        self.version += 1
         self._known[member.host] = member
         self._unnamed.discard(member.address)
         rows = [row for row in self._known.values() if row.domain == member.domain]
--- a/packages/valeweir_gateway/src/valeweir_gateway/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/servers.py
@@ -51,6 +51,7 @@
         self.loop = None
         self._sock = None
         self._resumption = None
+        self._is_sweeping = False
         self._connections = set()
         self._tasks = set()
 
@@ -65,7 +66,6 @@
         self._sock = socket.create_server((host, int(port)), backlog=_BACKLOG)
         self._sock.setblocking(False)
         self.loop.add_reader(self._sock, self._accept_waiting)
-        self.loop.call_later(_SWEEP, self._sweep)
 
     def close(self):
         """Stop listening and close every connection."""
@@ -82,6 +82,9 @@
     def add(self, conn):
         """Count a new connection."""
         self._connections.add(conn)
+        if not self._is_sweeping:
+            self._is_sweeping = True
+            self.loop.call_later(_SWEEP, self._sweep)
 
     def remove(self, conn):
         """Forget a connection that has ended."""
@@ -148,7 +151,9 @@
             idle.sort(key=lambda conn: conn.heard)
             for conn in idle[:excess]:
                 conn.close()
-        self.loop.call_later(_SWEEP, self._sweep)
+        self._is_sweeping = bool(self._connections)
+        if self._is_sweeping:
+            self.loop.call_later(_SWEEP, self._sweep)
 
 
 def create_server(
--- a/packages/valeweir_gateway/src/valeweir_gateway/stalls.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stalls.py
@@ -5,9 +5,9 @@
 
 import collections
 
-# Seconds between two ticks that are no stall: five times the longest interval of a
-# relay with many links.
-_LONGEST_GAP = 0.15
+# Seconds by which a tick may be late without a stall.
+_MAX_LATENESS_S = 0.13
+_DEFAULT_INTERVAL_S = 0.02
 # Seconds for which the end of a stall is kept.
 _KEPT = 2.0
 # Seconds from which a stall gets a line of its own in the log.
@@ -27,12 +27,17 @@
         self._clock = clock
         self._note = note
         self._ticked = None
+        self._max_gap = _DEFAULT_INTERVAL_S + _MAX_LATENESS_S
         self._total = 0.0
         # The (end, seconds) of those that ended lately.
         self._ended = collections.deque()
 
+    def expect(self, interval):
+        """Set after how many seconds the next ticks are due."""
+        self._max_gap = interval + _MAX_LATENESS_S
+
     def tick(self):
-        """Note that the process runs."""
+        """Record that the process runs."""
         now = self._clock()
         stalled = self._get_current(now)
         self._ticked = now
@@ -61,4 +66,4 @@
         if self._ticked is None:
             return 0.0
         gap = now - self._ticked
-        return gap if gap > _LONGEST_GAP else 0.0
+        return gap if gap > self._max_gap else 0.0
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -5,7 +5,7 @@
 import random
 import threading
 
-from valeweir.timers import get_lease_time
+from valeweir.timers import TimerService, get_lease_time
 
 from .connections import Connections
 from .crashes import Suspects
@@ -53,6 +53,7 @@
         self.names = names
         self.clock = clock
         self.pause = pause
+        self.timers = TimerService(clock)
         self.rng = random.Random(seed)
         self.catalog = None
         # Since when it is in force, None for never.
@@ -86,6 +87,8 @@
         self.catalog_topic = None
         self.instance_topic = None
         self.reads_store = False
+        # Set where a report shows a view that is newer than ours.
+        self.newer_view = threading.Event()
         self.usage = UsageWindow(cfg.sharing.window)
         self.shares = Shares(self.usage, cfg.sharing)
         self.connections = Connections(clock)
@@ -122,6 +125,11 @@
         known = self.catalog_known and self.directory_known and self.quarantine_known
         return self.catalog is not None and known
 
+    @property
+    def view_offsets(self):
+        """Return how far configuration, instances and quarantines are known."""
+        return (self.catalog_offset, self.directory_offset, self.quarantine_offset)
+
     def get_pressure(self):
         """Return the `pressure.Level` of this gateway."""
         occupancy = get_occupancy_level(self._inflight, self.cfg.most_inflight)
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -14,8 +14,8 @@
 from .topics import Batch, Entry, Listing
 
 VIEW_PATH = "/fleet/view"
-_CHECK = 0.06
-_READERS_CHECK = 0.15
+# At most; a report of a newer view is looked at as it comes.
+_CHECK = 0.15
 _PATIENCE = 0.25
 _TIMEOUT = 0.5
 _LONGEST_BEHIND = 0.6
@@ -174,15 +174,15 @@
             self._state.freshness.note_peer(asked - view.age)
 
     def _run(self, stopped):
-        interval = _CHECK
-        while not stopped.wait(interval):
+        while not stopped.is_set():
+            self._state.newer_view.wait(_CHECK)
+            self._state.newer_view.clear()
             taken = self._guard(self.catch_up)
             # After what peers know, which costs no call of the store.
             self._guard(self._refresher.check)
+            self._duty.reads_store()
             if taken is False:
-                interval = _PATIENCE
-            else:
-                interval = _READERS_CHECK if self._duty.reads_store() else _CHECK
+                stopped.wait(_PATIENCE)
 
     def _guard(self, action):
         """Do something now; what goes wrong must not end this thread."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/usage.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/usage.py
@@ -22,10 +22,13 @@
         self._lock = threading.Lock()
         self._buckets = collections.deque()
         self._sums = {}
+        # Rises with each amount that is added.
+        self.version = 0
 
     def add(self, account, asked, begun, now):
         """Count tokens of a request at this gateway."""
         with self._lock:
+            self.version += 1
             self._expire(now)
             slot = int(now / self._width)
             if not self._buckets or self._buckets[-1][0] != slot:
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -91,6 +91,7 @@
         state = self._state
         if seconds <= 0.0:
             return
+        state.timers.subscribe("warm-up", None, self.end_warm_ups, seconds)
         if state.slow_start.note(instance.id, now + seconds, now):
             state.metrics.warm_ups.labels(source).inc()
             state.log.note(
@@ -134,6 +135,7 @@
         if until is None:
             self._take_away(known, entry.offset, "upstream gone")
             return
+        state.timers.subscribe("lapse", None, self.end_lapses, until - now)
         state.log.note(
             "upstream lapsed",
             upstream=known.id,
--- a/packages/valeweir_gateway/tests/test_duties.py
+++ b/packages/valeweir_gateway/tests/test_duties.py
@@ -48,6 +48,28 @@
         self.wire.now += 1.5
         self.assertEqual(len(self.get_readers()), 3)
 
+    def test_members_are_read_at_the_start_and_once_more(self):
+        """Gateways that start together may not have found each other at once."""
+        duty = make_duty(next(iter(self.wire.fleets.values())))
+        reads = []
+        for _ in range(60):
+            if duty.reads_members():
+                reads.append(round(self.wire.now, 1))
+                duty.note_members_read()
+            self.wire.now += 0.1
+        self.assertEqual(len(reads), 2)
+        self.assertGreater(reads[1] - reads[0], 2.0)
+        self.assertTrue(duty.has_read_members())
+
+    def test_members_are_not_read_for_ever_while_the_store_is_away(self):
+        duty = make_duty(next(iter(self.wire.fleets.values())))
+        self.wire.now += 4.0
+        self.assertTrue(duty.reads_members())
+        self.assertFalse(duty.has_read_members())
+        self.wire.now += 2.0
+        self.assertFalse(duty.reads_members())
+        self.assertTrue(duty.has_read_members())
+
     def test_readers_that_others_depend_on_ask_often(self):
         self.assertLessEqual(self.duties["h0"].get_poll(), 1.0)
 
--- a/packages/valeweir_gateway/tests/test_fleet.py
+++ b/packages/valeweir_gateway/tests/test_fleet.py
@@ -1,3 +1,4 @@
+import collections
 import random
 import unittest
 from types import SimpleNamespace
@@ -14,7 +15,7 @@
     decode_report,
     encode_report,
 )
-from valeweir_standins.wires import Wire
+from valeweir_standins.wires import TICK, Wire
 
 
 def make_report(host="b", number=1, seq=1, domain="z", role=Role.ACROSS, **fields):
@@ -262,6 +263,19 @@
     return wire
 
 
+def count_datagrams(wire, seconds):
+    """Return {address: datagrams sent} of some seconds."""
+    sent = collections.Counter()
+
+    def count(sender, target):
+        sent[sender] += 1
+        return False
+
+    wire.is_cut = count
+    wire.run(seconds)
+    return sent
+
+
 class TestExchange(unittest.TestCase):
     def start(self, domains, size):
         wire = make_wire(domains, size)
@@ -381,6 +395,23 @@
         for host, state in wire.states.items():
             self.assertEqual(state.members.get_silent_domains(wire.now), set(), host)
 
+    def test_a_fleet_with_nothing_to_report_sends_heartbeats_only(self):
+        wire = make_wire(3, 60)
+        wire.introduce()
+        wire.run(5.0)
+        sent = count_datagrams(wire, 3.0)
+        links = {fleet.address: fleet.count_links() for fleet in wire.fleets.values()}
+        for address, count in sent.items():
+            # A heartbeat every 0.3 s to each link, and signs of life once a second.
+            self.assertLessEqual(count, links[address] * (3.0 / 0.3 + 1) + 12, address)
+
+    def test_work_that_changes_is_reported_with_the_next_tick(self):
+        wire = self.start(1, 2)
+        wire.run(1.03)
+        wire.states["h0"].loads.start("engine", 5_000, wire.now)
+        wire.run(2 * TICK)
+        self.assertEqual(wire.see("h1", "engine"), 100 + 101 + 5_000)
+
     def test_a_domain_cut_off_is_known_to_every_gateway(self):
         wire = self.start(3, 60)
         inside = {h for h, s in wire.states.items() if s.cfg.domain == "d1"}
--- a/packages/valeweir_gateway/tests/test_stalls.py
+++ b/packages/valeweir_gateway/tests/test_stalls.py
@@ -26,6 +26,15 @@
         self.assertEqual(self.stalls.get_total(), 0.0)
         self.assertEqual(self.lines, [])
 
+    def test_the_interval_announced_before_is_no_stall(self):
+        self.tick_after(0.0)
+        self.stalls.expect(0.1)
+        self.tick_after(0.2)
+        self.assertEqual(self.stalls.get_total(), 0.0)
+        self.stalls.expect(0.02)
+        self.tick_after(0.2)
+        self.assertAlmostEqual(self.stalls.get_total(), 0.2)
+
     def test_stalls_add_up(self):
         self.tick_after(0.0, 0.4, 0.02, 2.0)
         self.assertAlmostEqual(self.stalls.get_total(), 2.4)
--- a/packages/valeweir_standins/src/valeweir_standins/wires.py
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -1,6 +1,7 @@
 """Gateways' exchanges of reports over a wire in memory, on a clock of its own."""
 
 import collections
+import threading
 from types import SimpleNamespace
 
 from valeweir_gateway.crashes import Suspects
@@ -109,6 +110,8 @@
         log=SimpleNamespace(note=lambda *args, **fields: None),
         members=Members(member),
         members_known=True,
+        newer_view=threading.Event(),
+        view_offsets=(0, 0, 0),
         reads=Reads(),
         retries=RetryBudget(0.2, 58, 10.0),
         shares=Shares(usage, Sharing(window=_WINDOW)),
