--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -7,7 +7,7 @@
 from valeweir.timers import get_lease_time
 
 from . import blaming, metrics
-from .caches import CacheScout
+from .caches import CACHES_PATH, CacheScout, create_caches_handler, create_fetch
 from .decisions import DecisionLog
 from .domains import PROBE_CHECK_S, DomainProber
 from .duties import StoreDuty
@@ -71,7 +71,7 @@
             duty,
             Refresher(state, self._followers, duty),
         )
-        self._scout = CacheScout(state, adapter.list_parts)
+        self._scout = CacheScout(state, adapter.list_parts, create_fetch(listen.fleet))
         self._metrics = _create_metrics_server(state, self._update_gauges)
         self._prober = DomainProber(state)
         self._publisher = Publisher(state, adapter, listen.reports)
@@ -245,10 +245,13 @@
     """Return the handler for peers and operators."""
     give_view = create_view_handler(state, followers)
     serve_operators = create_quarantine_handler(state)
+    give_caches = create_caches_handler(state)
 
     def handle(request, reply):
         if request.path.startswith(QUARANTINE_PATH):
             serve_operators(request, reply)
+        elif request.path == CACHES_PATH:
+            give_caches(request, reply)
         else:
             give_view(request, reply)
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -97,6 +97,17 @@
             self.note_digest(digest, instance_id, now)
         self._listed.add(instance_id)
 
+    def get_listed(self, now):
+        """Return {instance digest: part digests} of the instances that were listed."""
+        oldest = now - _CACHE_LIFETIME
+        with self._lock:
+            listed = {instance_id: [] for instance_id in self._listed}
+            for digest, holders in self._parts.items():
+                for instance_id, at in holders.items():
+                    if at > oldest and instance_id in listed:
+                        listed[instance_id].append(digest)
+        return {get_digest(name): parts for name, parts in listed.items()}
+
     def note_parts(self, parts, instance_id, now):
         """Note that the instance reads these parts."""
         for part in parts:
