--- a/packages/valeweir_gateway/src/valeweir_gateway/connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/connections.py
@@ -46,11 +46,11 @@
         while True:
             with self._lock:
                 rows = self._idle.get(instance_id)
-                if not rows:
+                # The last used is the last in the list; all others are older.
+                if not rows or now - rows[-1].since >= longest_idle:
                     return None
                 idle = rows.pop()
-            fresh = now < idle.until and now - idle.since < longest_idle
-            if fresh and not is_readable(idle.sock):
+            if now < idle.until and not is_readable(idle.sock):
                 return idle.sock
             idle.sock.close()
 
