--- a/packages/valeweir/src/valeweir/servers.py
+++ b/packages/valeweir/src/valeweir/servers.py
@@ -19,7 +19,7 @@
 
 _GROW_BY = 32
 _SPARE_THREADS = 8
-_MOST_ACCEPTS = 64
+_MAX_ACCEPTS = 64
 
 
 class Request(NamedTuple):
@@ -170,7 +170,7 @@
         accept_one = manager._from_server_socket
 
         def accept_waiting(sock):
-            for _ in range(_MOST_ACCEPTS):
+            for _ in range(_MAX_ACCEPTS):
                 conn = accept_one(sock)
                 if not _is_readable(sock):
                     return conn
--- a/packages/valeweir/src/valeweir/timers.py
+++ b/packages/valeweir/src/valeweir/timers.py
@@ -11,8 +11,8 @@
 
 # Returns seconds on a clock that goes on while the process or host is paused.
 # ``CLOCK_BOOTTIME`` also counts suspended time, and no one can set it, so a jump of the
-# wall clock neither lapses nor extends a lease. No function of ours, as it is read all
-# the time: 115 ns a call in place of 168.
+# wall clock neither lapses nor extends a lease. A partial has less overhead than a
+# function, and it is read all the time.
 get_lease_time = functools.partial(time.clock_gettime, time.CLOCK_BOOTTIME)
 
 
--- a/packages/valeweir_cli/src/valeweir_cli/losses.py
+++ b/packages/valeweir_cli/src/valeweir_cli/losses.py
@@ -6,7 +6,7 @@
 
 LATE = "late"
 # Bins of a picture, about one for each of its pixels across.
-_MOST_BINS = 900
+_MAX_BINS = 900
 
 
 class Loss(NamedTuple):
@@ -86,7 +86,7 @@
     if not losses:
         return 1, {}
     span = max(loss.second for loss in losses) + 1
-    width = math.ceil(span / _MOST_BINS)
+    width = math.ceil(span / _MAX_BINS)
     bins = math.ceil(span / width)
     table = collections.defaultdict(lambda: [0] * bins)
     for loss in losses:
--- a/packages/valeweir_gateway/src/valeweir_gateway/admission.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission.py
@@ -5,24 +5,20 @@
 from .shares import UNLIMITED, compute_pass_rate, describe_standing
 
 # Parts of the goal: for the whole wait, and for what is ahead of a long prompt.
-_GOAL_PART = 0.65
-_AHEAD_PART = 0.2
-# Part of the goal that others ahead at the engine take where it counts as crowded; with
-# 0.2 engines read 0.73 of the time where they read 0.79 with 0.4.
-_CROWDED_PART = 0.4
+_GOAL_RATIO = 0.65
+_AHEAD_RATIO = 0.2
+# Share of the latency target that work ahead takes at an engine that is crowded.
+_CROWDED_RATIO = 0.4
 # Times to come back, in seconds.
-_LEAST_RETRY = 0.3
-_LEAST_CALL_RETRY = 0.1
+_MIN_RETRY = 0.3
+_MIN_CALL_RETRY = 0.1
 _ELSEWHERE_RETRY = 0.02
-# Of a try beyond its account's share: a quarter of the window that the share is of.
+# For a try beyond its account's share; shares are of a window four times as long.
 _BEYOND_RETRY = 1.0
-# A client that has spent more than this part of its time has come back. With less, all
-# repeats of an account that floods count, and one that asks little gets 0.80 of it on
-# the fake clock of the tests, not 0.85.
-_RETURNED_PART = 0.03
-# Part of the goal that even such a request may wait to be looked at. Without a bound a
-# gateway that many come back to reads them 3 s late, and all others behind them.
-_LONGEST_INTAKE_PART = 0.25
+# A client that has spent more than this part of its time has come back.
+_RETURNED_RATIO = 0.03
+# Retries queue behind first attempts; the bound keeps a retry storm from delaying both.
+_MAX_INTAKE_RATIO = 0.25
 # Its wait limit against the usual; near the greatest that a share gives.
 _RETURNED_FACTOR = 1.3
 
@@ -50,17 +46,17 @@
     goal = state.goals.note(job.service, job.route.goal, now)
     standing = get_standing(state, job, now)
     job.standing = standing
-    crowding = min(1.0, (choice.wait - choice.alone) / (_CROWDED_PART * goal))
+    crowding = min(1.0, (choice.wait - choice.alone) / (_CROWDED_RATIO * goal))
     refusal = _thin(state, job, standing, crowding, now)
     if refusal is not None:
         return refusal
     allowed = goal * standing.factor
     # A prompt too long for its goal gains nothing by coming back; it goes out
     # where little is ahead of it.
-    limit = max(_GOAL_PART * allowed, choice.alone + _AHEAD_PART * allowed)
+    limit = max(_GOAL_RATIO * allowed, choice.alone + _AHEAD_RATIO * allowed)
     if choice.wait <= limit:
         return None
-    retry_after = limit_retry(job, max(_LEAST_RETRY, choice.wait - limit / 2), now)
+    retry_after = limit_retry(job, max(_MIN_RETRY, choice.wait - limit / 2), now)
     inputs = describe(state, choice, standing, limit, now)
     return Refusal(503, "engines-busy", retry_after=retry_after, inputs=inputs)
 
@@ -70,8 +66,7 @@
 
     Where no place is free, calls wait in the upstream's own queue, and with each one
     that will be late those behind it become late too. So it goes out to a free place,
-    or where what is left of its goal bears the wait: on a day of short places 471 of
-    6,523 arrivals were turned away by the upstream, 4,796 of 11,467 without.
+    or where what is left of its goal bears the wait.
     """
     load = state.loads.get(choice.instance.id, now)
     if load.active + load.remote_active < choice.instance.slots:
@@ -79,7 +74,7 @@
     limit = _get_goal_left(job, now)
     if choice.wait <= limit:
         return None
-    retry_after = max(_LEAST_CALL_RETRY, choice.wait - job.route.goal / 2)
+    retry_after = max(_MIN_CALL_RETRY, choice.wait - job.route.goal / 2)
     retry_after = limit_retry(job, retry_after, now)
     inputs = {
         "upstream": choice.instance.id,
@@ -123,7 +118,7 @@
     level = max(state.get_pressure(), get_intake_level(wait, job.route.goal))
     if level is Level.NONE:
         return None
-    if is_returned(job) and wait <= _LONGEST_INTAKE_PART * job.route.goal:
+    if is_returned(job) and wait <= _MAX_INTAKE_RATIO * job.route.goal:
         return None
     if level is Level.HIGH and get_standing(state, job, now).factor >= 1.0:
         return None
@@ -172,4 +167,4 @@
 
 def is_returned(job):
     """Return whether the client has tried before."""
-    return job.spent > _RETURNED_PART * (job.spent + job.allowed)
+    return job.spent > _RETURNED_RATIO * (job.spent + job.allowed)
--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -2,13 +2,13 @@
 
 from . import streams
 from .answers import Head
-from .blaming import is_held, note_answered, note_broken_off
 from .candidates import may_receive
 from .catalog import RouteKind
-from .catching_up import is_behind, wait_for_view
 from .checking import ANSWER_MARGIN
-from .connections import LONGEST_IDLE, connect
+from .connections import MAX_IDLE, connect
+from .crash_attribution import is_held, note_answered, note_broken_off
 from .exchanges import Call, Exchange, Failure, Fault, prepare_headers
+from .pause_recovery import is_behind, wait_for_view
 from .recording import note_failure, note_result, note_sending
 from .repeating import MISDIRECTED
 
@@ -84,7 +84,7 @@
 
 async def _get_socket(state, job, instance):
     repeatable = job.route.repeatable
-    longest_idle = LONGEST_IDLE if repeatable else _FRESH_WITHIN
+    longest_idle = MAX_IDLE if repeatable else _FRESH_WITHIN
     sock = state.connections.take(instance.id, longest_idle)
     if sock is not None:
         return sock
--- a/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
@@ -4,7 +4,7 @@
 from .repeating import BUSY_RETRY
 
 # Seconds, so that a client does not come back a moment too soon.
-_LEAST_RETRY = 0.05
+_MIN_RETRY = 0.05
 
 
 def find_candidates(state, job, now):
@@ -106,6 +106,6 @@
 def _refuse_warming(state, job, rows, now):
     """Return the `Refusal` where all that could serve are warming up."""
     ends = [state.slow_start.get_end(row.id) for row in rows]
-    retry_after = limit_retry(job, max(_LEAST_RETRY, min(ends) - now), now)
+    retry_after = limit_retry(job, max(_MIN_RETRY, min(ends) - now), now)
     inputs = {"warming": len(rows)}
     return Refusal(503, "upstreams-warming", retry_after=retry_after, inputs=inputs)
--- a/packages/valeweir_gateway/src/valeweir_gateway/checking.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/checking.py
@@ -1,9 +1,9 @@
 """What a request asks for, and whether the configuration allows it."""
 
 from .catalog import RouteKind
-from .duties import get_longest_age
 from .prompts import parse_prompt
 from .refusals import Refusal
+from .store_readers import get_longest_age
 
 ANSWER_MARGIN = 0.03
 _UNREADY_RETRY = 0.5
--- a/packages/valeweir_gateway/src/valeweir_gateway/clients.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/clients.py
@@ -15,7 +15,7 @@
 from .waiting import wake
 
 # Whole requests of one connection that wait for the one before them.
-_MOST_PIPELINED = 8
+_MAX_PIPELINED = 8
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -52,7 +52,7 @@
             self._parser.feed(data)
         except BadRequest as exc:
             self._take_fault(exc)
-        if len(self._requests) >= _MOST_PIPELINED:
+        if len(self._requests) >= _MAX_PIPELINED:
             self._transport.pause_reading()
 
     def eof_received(self):  # noqa: D102
--- a/packages/valeweir_gateway/src/valeweir_gateway/connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/connections.py
@@ -18,7 +18,7 @@
 
 CONNECT_TIMEOUT = 0.4
 _KEPT_PER_INSTANCE = 8
-LONGEST_IDLE = 4.0
+MAX_IDLE = 4.0
 
 
 class Idle:
@@ -40,7 +40,7 @@
         self._idle = {}
         self._lock = threading.Lock()
 
-    def take(self, instance_id, longest_idle=LONGEST_IDLE):
+    def take(self, instance_id, longest_idle=MAX_IDLE):
         """Return a kept socket that looks alive, or None."""
         now = self._clock()
         while True:
@@ -57,7 +57,7 @@
     def keep(self, instance_id, sock, lifetime=None):
         """Keep a socket for ``lifetime`` seconds at most."""
         now = self._clock()
-        until = now + min(LONGEST_IDLE, lifetime or LONGEST_IDLE)
+        until = now + min(MAX_IDLE, lifetime or MAX_IDLE)
         with self._lock:
             rows = self._idle.setdefault(instance_id, [])
             if len(rows) < _KEPT_PER_INSTANCE:
--- a/packages/valeweir_gateway/src/valeweir_gateway/blaming.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/crash_attribution.py
@@ -9,22 +9,22 @@
 
 from .crashes import Crash
 from .fingerprints import format_fingerprint
-from .quarantine import QuarantineRecord, is_surely_to_blame, is_to_blame
+from .quarantine import QuarantineRecord, is_confirmed, is_to_blame
 from .refusals import Refusal
 from .reports import get_digest
 
 # Seconds until a client may ask again where no trial is due before an operator's word.
 _LONG_RETRY = 60.0
-_LEAST_RETRY = 0.2
+_MIN_RETRY = 0.2
 # Seconds after the end of an upstream in which a peer's word of it counts; it may be
 # back later.
 _RECENT = 0.7
 # Characters of a path in a record.
-_LONGEST_TARGET = 200
+_MAX_TARGET = 200
 
 
 class Notice(NamedTuple):
-    """What peers are told of a request: its `Crash`, or None where it was acquitted."""
+    """What peers are told of a request: its `Crash`, or None where it was cleared."""
 
     fingerprint: int
     crash: Crash | None
@@ -63,7 +63,7 @@
     held = state.quarantine.get(job.fingerprint)
     wait = _LONG_RETRY
     if held is not None and held.due is not None:
-        wait = max(_LEAST_RETRY, held.due - now)
+        wait = max(_MIN_RETRY, held.due - now)
     inputs = {"fingerprint": format_fingerprint(job.fingerprint)}
     if held is not None:
         inputs |= {
@@ -105,7 +105,7 @@
     if not state.suspects and not state.quarantine:
         return
     now = state.clock()
-    suspect = state.suspects.acquit(job.fingerprint, now)
+    suspect = state.suspects.clear(job.fingerprint, now)
     held = state.quarantine.remove(job.fingerprint)
     if not suspect and not held:
         return
@@ -119,7 +119,7 @@
     """Take in what a peer has found out; return whether it is news to this gateway."""
     fingerprint, crash = notice
     if crash is None:
-        suspect = state.suspects.acquit(fingerprint, now)
+        suspect = state.suspects.clear(fingerprint, now)
         return state.quarantine.remove(fingerprint) or suspect
     _set_aside(state, crash, now)
     count = state.suspects.add(fingerprint, crash, now)
@@ -132,7 +132,7 @@
     """Take in a record of the store; None where it is gone."""
     text = format_fingerprint(fingerprint)
     if record is None:
-        state.suspects.acquit(fingerprint, now)
+        state.suspects.clear(fingerprint, now)
         state.quarantine_store.note_gone(fingerprint)
         if state.quarantine.remove(fingerprint):
             state.log.note("request let go", why="record gone", fingerprint=text)
@@ -146,9 +146,9 @@
         )
 
 
-def let_go(state, fingerprint):
+def release(state, fingerprint):
     """Let a request go by an operator's word; return whether it was held."""
-    state.suspects.acquit(fingerprint, state.clock())
+    state.suspects.clear(fingerprint, state.clock())
     if not state.quarantine.remove(fingerprint):
         return False
     state.notices.append(Notice(fingerprint, None))
@@ -188,9 +188,9 @@
     record = QuarantineRecord(
         count.upstreams,
         count.runs,
-        is_sure=is_surely_to_blame(count, others),
+        is_sure=is_confirmed(count, others),
         account=job.account.name if job and job.account else None,
-        target=job.request.target[:_LONGEST_TARGET] if job else "",
+        target=job.request.target[:_MAX_TARGET] if job else "",
         host=state.cfg.host,
     )
     if state.quarantine.put(fingerprint, record, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/crashes.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/crashes.py
@@ -3,7 +3,7 @@
 All that ran at an upstream when it ended is suspect. What tells the one request that
 ends upstreams from those that ran beside it: it comes again, is never answered whole,
 and its sends end upstreams one after the other. A whole answer anywhere in the fleet
-acquits, and sends that ran at the same time count once, so that many requests which
+clears it, and sends that ran at the same time count once, so that many requests which
 look the same are not blamed for a failure domain that crashed. Where upstreams end
 without it as well, more is asked for.
 """
@@ -14,11 +14,11 @@
 
 # Requests known at a time, 0.35 KB each, measured. Each crash adds at most the requests
 # that its upstream ran, some dozens.
-_MOST_SUSPECTS = 4_000
+_MAX_SUSPECTS = 4_000
 # Room is made for this part at once: ranking them all takes 0.6 ms.
-_TRIMMED_PART = 0.1
+_TRIMMED_RATIO = 0.1
 # Crashes kept of a request; three decide.
-_MOST_CRASHES = 8
+_MAX_CRASHES = 8
 # Seconds after its last crash until a request is no longer suspect: far longer than
 # clients go on trying, and than an upstream takes to come back.
 _FORGET_AFTER = 600.0
@@ -26,11 +26,11 @@
 # gateways. An upstream takes longer to come back and end once more.
 _SAME_END = 1.0
 # Ends of upstreams kept, and for how many seconds they tell how often upstreams end.
-_MOST_ENDS = 64
+_MAX_ENDS = 64
 _ENDS_WITHIN = 60.0
 # Seconds for which a whole answer speaks for a request, also against crashes that
 # gateways tell of late.
-_ACQUITTED_FOR = 5.0
+_CLEARED_FOR_S = 5.0
 
 
 class Crash(NamedTuple):
@@ -66,11 +66,11 @@
 class Suspects:
     """Crashes by the fingerprint of the request; all methods may run in any thread."""
 
-    def __init__(self, most=_MOST_SUSPECTS):
+    def __init__(self, most=_MAX_SUSPECTS):
         self._most = most
         self._crashes = {}
-        self._acquitted = {}
-        self._ends = collections.deque(maxlen=_MOST_ENDS)
+        self._cleared = {}
+        self._ends = collections.deque(maxlen=_MAX_ENDS)
         self._lock = threading.Lock()
 
     def __len__(self):
@@ -83,7 +83,7 @@
         """Take a crash in; return the request's `Count`, None if that is no new one."""
         with self._lock:
             self._note_end(fingerprint, crash)
-            if now - self._acquitted.get(fingerprint, -_ACQUITTED_FOR) < _ACQUITTED_FOR:
+            if now - self._cleared.get(fingerprint, -_CLEARED_FOR_S) < _CLEARED_FOR_S:
                 return None
             rows = self._crashes.setdefault(fingerprint, [])
             before = count_crashes(rows)
@@ -112,14 +112,14 @@
                 for end in self._ends
             )
 
-    def acquit(self, fingerprint, now):
+    def clear(self, fingerprint, now):
         """Note a whole answer; return whether the request was suspect."""
         with self._lock:
             if self._crashes.pop(fingerprint, None) is None:
                 return False
-            self._acquitted[fingerprint] = now
-            while len(self._acquitted) > self._most:
-                del self._acquitted[next(iter(self._acquitted))]
+            self._cleared[fingerprint] = now
+            while len(self._cleared) > self._most:
+                del self._cleared[next(iter(self._cleared))]
             return True
 
     def drop_old(self, now):
@@ -128,9 +128,9 @@
             for fingerprint, rows in list(self._crashes.items()):
                 if now - rows[-1].ended > _FORGET_AFTER:
                     del self._crashes[fingerprint]
-            for fingerprint, at in list(self._acquitted.items()):
-                if now - at > _ACQUITTED_FOR:
-                    del self._acquitted[fingerprint]
+            for fingerprint, at in list(self._cleared.items()):
+                if now - at > _CLEARED_FOR_S:
+                    del self._cleared[fingerprint]
 
     def _note_end(self, fingerprint, crash):
         for end in self._ends:
@@ -142,7 +142,7 @@
     def _trim(self):
         """Make room; who has done least and longest ago goes first."""
         excess = len(self._crashes) - self._most
-        if excess <= _TRIMMED_PART * self._most:
+        if excess <= _TRIMMED_RATIO * self._most:
             return
         ranked = sorted(self._crashes, key=lambda key: len(self._crashes[key]))
         for fingerprint in ranked[:excess]:
@@ -182,4 +182,4 @@
     else:
         rows.append(crash)
     rows.sort(key=lambda row: row.ended)
-    del rows[:-_MOST_CRASHES]
+    del rows[:-_MAX_CRASHES]
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -10,7 +10,7 @@
 import socket
 import time
 
-from . import blaming
+from . import crash_attribution
 from .links import Links
 from .members import Member
 from .relays import make_plan
@@ -154,7 +154,7 @@
         news = [
             notice
             for notice in get_notices(report, now)
-            if blaming.take_notice(state, notice, now)
+            if crash_attribution.take_notice(state, notice, now)
         ]
         self._links.forward_notices(news, report.role, report.host)
         for instance, part in report.reads:
--- a/packages/valeweir_gateway/src/valeweir_gateway/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/follower.py
@@ -5,16 +5,16 @@
 
 from valeweir.exceptions import PlatformUnavailable
 
-from .beliefs import STORE, Taken
 from .stores import HistoryExpired, Unanswered
 from .topics import TopicRecords
+from .view_source import STORE, Taken
 
 _FIRST_PAUSE = 0.1
-_LONGEST_PAUSE = 1.0
+_MAX_PAUSE = 1.0
 _IDLE_CHECK_S = 0.15
 _SERIES_PAUSE = 0.2
 # Characters of a key on a line of the log.
-_LONGEST_KEY = 120
+_MAX_KEY = 120
 # Seconds beyond a call's own wait after which the store counts as having been
 # away: a hundred times its usual answer of some milliseconds.
 _LATE_ANSWER = 0.5
@@ -62,7 +62,7 @@
     is_done : callable
         Returns whether the topic need not be read any more.
     on_taken : callable
-        Called with the topic and the `beliefs.Taken` of each listing or batch.
+        Called with the topic and the `view_source.Taken` of each listing or batch.
     """
 
     def __init__(
@@ -118,7 +118,7 @@
             before = self.end
             if not self.follow_once():
                 stopped.wait(self._pause)
-                self._pause = min(self._pause * 2, _LONGEST_PAUSE)
+                self._pause = min(self._pause * 2, _MAX_PAUSE)
             elif self.end != before:
                 # Changes come in series; one call then brings several.
                 stopped.wait(_SERIES_PAUSE)
@@ -288,7 +288,7 @@
             "record not applied",
             failed=True,
             topic=self._topic,
-            key=entry.key[:_LONGEST_KEY],
+            key=entry.key[:_MAX_KEY],
             offset=entry.offset,
             why=repr(exc),
         )
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -4,23 +4,23 @@
 
 from . import admission
 from .attempts import attempt
-from .blaming import check_quarantine, is_held, refuse_held
 from .candidates import find_candidates, take_permit
-from .catching_up import wait_for_view
 from .checking import check
+from .crash_attribution import check_quarantine, is_held, refuse_held
 from .exchanges import Fault
 from .jobs import Job
+from .pause_recovery import wait_for_view
 from .placement import choose_engine, choose_instance
 from .recording import note_refusal
 from .refusals import Refusal, send_refusal
-from .repeating import UNRUN, be_honest, explain, explain_late, may_repeat
+from .repeating import UNRUN, downgrade_if_ambiguous, explain, explain_late, may_repeat
 from .replies import ClientGone
 
-_LEAST_LEFT = 0.02
+_MIN_LEFT = 0.02
 _MAX_CONNECTS = 3
 # Part of the goal that a request may wait for others at an engine before more
 # engines are looked at.
-_PATIENCE_PART = 0.15
+_PATIENCE_RATIO = 0.15
 
 
 def create_handler(state):
@@ -111,11 +111,11 @@
     connects = 0
     while True:
         now = state.clock()
-        if job.deadline - now < _LEAST_LEFT:
+        if job.deadline - now < _MIN_LEFT:
             return explain_late(job)
         choice = _place(state, job, now)
         if isinstance(choice, Refusal):
-            return be_honest(job, choice)
+            return downgrade_if_ambiguous(job, choice)
         failure = await attempt(state, job, choice)
         if failure is None:
             return None
@@ -153,7 +153,7 @@
         zone = state.cfg.domain
         return choose_instance(rows, state.loads, zone, now, state.rng)
     engine = job.catalog.services[job.service].engine
-    patience = _PATIENCE_PART * job.route.goal
+    patience = _PATIENCE_RATIO * job.route.goal
     return choose_engine(job.prompt, rows, state.loads, now, engine, patience)
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -6,22 +6,22 @@
 
 from valeweir.timers import get_lease_time
 
-from . import blaming, metrics
+from . import crash_attribution, metrics
 from .caches import CACHES_PATH, CacheScout, create_caches_handler, create_fetch
 from .decisions import DecisionLog
 from .domains import PROBE_CHECK_S, DomainProber
-from .duties import StoreDuty
 from .fleet import create_fleet
 from .following import create_followers, create_view_handler
 from .forwarding import create_handler
-from .keeping import QuarantineStore
 from .loops import create_loop
 from .operating import QUARANTINE_PATH, create_quarantine_handler
 from .publishing import Publisher
+from .quarantine_store import QuarantineStore
 from .refreshing import Refresher
 from .servers import create_plain_handler, create_server
 from .sockets import prepare_socket
 from .states import GatewayState
+from .store_readers import StoreDuty
 from .syncing import ViewSync
 from .views import ViewKeeper
 
@@ -92,7 +92,7 @@
         asyncio.run_coroutine_threadsafe(self._open(), self._loop).result(_OPEN_WAIT)
         self.timers.subscribe("idle", _STALE_CHECK, state.connections.drop_stale)
         self.timers.subscribe(
-            "quarantine", _STALE_CHECK, lambda: blaming.end_old(state)
+            "quarantine", _STALE_CHECK, lambda: crash_attribution.end_old(state)
         )
         self.timers.subscribe("caches", _CACHE_CHECK, self._scout.find_new)
         self.timers.subscribe("domains", PROBE_CHECK_S, self._prober.probe)
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -13,12 +13,12 @@
 from .work import FIRST_PAUSE, InstanceLoad, Work
 
 _FIRST_RATE = 30_000.0
-_LEAST_RATE = 2_000.0
-_GREATEST_RATE = 400_000.0
+_MIN_RATE = 2_000.0
+_MAX_RATE = 400_000.0
 _RATE_MEMORY = 0.05
 _FIRST_BASE = 0.05
 _BASE_MEMORY = 0.02
-_LEAST_READ = 1_500
+_MIN_READ = 1_500
 # Seconds that a plain call takes to begin with, and the part of the mean that a new
 # figure makes up.
 _FIRST_CALL_TIME = 0.05
@@ -28,7 +28,7 @@
 _MAX_READS = 200
 _SILENCE = 1.0
 _ERRORS_TO_EJECT = 2
-_LONGEST_PAUSE = 8.0
+_MAX_PAUSE = 8.0
 
 
 class Loads:
@@ -205,14 +205,14 @@
         if now < load.until:
             return None
         load.until = now + load.pause
-        pause, load.pause = load.pause, min(load.pause * 2, _LONGEST_PAUSE)
+        pause, load.pause = load.pause, min(load.pause * 2, _MAX_PAUSE)
         load.probing = False
         return pause
 
     def note_replaced(self, instance_id, now):
         """Note that another instance has the address; this one is gone."""
         load = self.get(instance_id, now)
-        load.until = now + _LONGEST_PAUSE
+        load.until = now + _MAX_PAUSE
         load.probing = False
 
     def note_released(self, instance_id, now):
@@ -271,13 +271,13 @@
             return
         total = work.ahead + work.tokens
         reading = elapsed - self.base
-        if total < _LEAST_READ:
+        if total < _MIN_READ:
             if work.ahead == 0:
                 self.base += _BASE_MEMORY * (min(elapsed, 1.0) - self.base)
             return
         if reading <= 0:
             return
-        rate = min(_GREATEST_RATE, max(_LEAST_RATE, total / reading))
+        rate = min(_MAX_RATE, max(_MIN_RATE, total / reading))
         self.rate += _RATE_MEMORY * (rate - self.rate)
         slowness = self.rate / rate
         load.slowness += 0.1 * (min(8.0, max(0.5, slowness)) - load.slowness)
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -83,7 +83,7 @@
             "domains_evacuated", "Failure domains that get no new work"
         )
         self.suspects = self._gauge(
-            "suspect_requests", "Requests under which upstreams ended, not acquitted"
+            "suspect_requests", "Requests under which upstreams ended, not cleared"
         )
         self.quarantined = self._gauge(
             "quarantined_requests", "Requests that are sent no more"
--- a/packages/valeweir_gateway/src/valeweir_gateway/operating.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operating.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from . import blaming
+from . import crash_attribution
 from .fingerprints import format_fingerprint, parse_fingerprint
 
 QUARANTINE_PATH = "/fleet/quarantine"
@@ -17,7 +17,7 @@
 
     def handle(request, reply):
         if request.method == "DELETE":
-            released = _let_go(state, request.path.removeprefix(f"{QUARANTINE_PATH}/"))
+            released = _release(state, request.path.removeprefix(f"{QUARANTINE_PATH}/"))
             reply.send(204 if released else 404, [], b"")
             return
         if request.method != "GET" or request.path != QUARANTINE_PATH:
@@ -30,12 +30,12 @@
     return handle
 
 
-def _let_go(state, text):
+def _release(state, text):
     try:
         fingerprint = parse_fingerprint(text)
     except ValueError:
         return False
-    return blaming.let_go(state, fingerprint)
+    return crash_attribution.release(state, fingerprint)
 
 
 def _describe(fingerprint, held, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/catching_up.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/pause_recovery.py
@@ -5,12 +5,12 @@
 news.
 """
 
-from .duties import get_longest_age
+from .store_readers import get_longest_age
 
 # All in seconds.
 # Where nothing is heard meanwhile the store is away, and an old view is better than
 # none.
-_LONGEST_WAIT = 1.0
+_MAX_WAIT = 1.0
 # For a gateway that reads the store itself. What lies unread in the kernel is the first
 # change only; the others come with its next call, 0.2 s later, and a slow answer.
 _READING_WAIT = 0.5
@@ -30,7 +30,7 @@
     if state.members.is_mesh:
         # Who reads the store is told of changes at once, but while it stands still.
         return state.stalls.get_lately(_READING_WAIT) > longest
-    return age - state.stalls.get_lately(_LONGEST_WAIT) <= longest
+    return age - state.stalls.get_lately(_MAX_WAIT) <= longest
 
 
 async def wait_for_view(state):
@@ -39,7 +39,7 @@
     if not is_behind(state, started):
         return
     waited = 0.0
-    while waited < _LONGEST_WAIT and is_behind(state, started + waited):
+    while waited < _MAX_WAIT and is_behind(state, started + waited):
         await state.pause(_CHECK)
         waited = state.clock() - started
     state.metrics.view_waits.observe(waited)
--- a/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/pressure.py
@@ -11,17 +11,17 @@
 # Lags in seconds. One long stop, of the host or of a collection, is no queue. A request
 # takes some five turns of the loop to its upstream: at the second limit half a second
 # and most of its goal.
-_LONGEST_COUNTED = 0.24
+_MAX_COUNTED = 0.24
 _HIGH = 0.05
 _SEVERE = 0.1
 # A level ends below this part of the lag that began it.
-_RELIEVED_PART = 0.6
+_RELIEVED_RATIO = 0.6
 # Parts of the requests that may be under way.
-_HIGH_PART = 0.7
-_SEVERE_PART = 0.85
+_HIGH_RATIO = 0.7
+_SEVERE_RATIO = 0.85
 # Parts of a request's goal that it may wait to be looked at.
-_HIGH_WAIT_PART = 0.1
-_SEVERE_WAIT_PART = 0.2
+_HIGH_WAIT_RATIO = 0.1
+_SEVERE_WAIT_RATIO = 0.2
 # Clients that leave before they are read, within a window in seconds.
 _LEFT_MANY = 8
 _LEFT_WINDOW = 1.0
@@ -40,9 +40,9 @@
 
     Some room is left for telling clients to go elsewhere at once.
     """
-    if inflight > _SEVERE_PART * most:
+    if inflight > _SEVERE_RATIO * most:
         return Level.SEVERE
-    if inflight > _HIGH_PART * most:
+    if inflight > _HIGH_RATIO * most:
         return Level.HIGH
     return Level.NONE
 
@@ -52,9 +52,9 @@
 
     A client that is sent elsewhere at once has most of its goal left there.
     """
-    if wait > _SEVERE_WAIT_PART * goal:
+    if wait > _SEVERE_WAIT_RATIO * goal:
         return Level.SEVERE
-    if wait > _HIGH_WAIT_PART * goal:
+    if wait > _HIGH_WAIT_RATIO * goal:
         return Level.HIGH
     return Level.NONE
 
@@ -107,7 +107,7 @@
 
     def note(self, late):
         """Take in by how much a wake-up was late."""
-        late = min(_LONGEST_COUNTED, max(0.0, late))
+        late = min(_MAX_COUNTED, max(0.0, late))
         self.lag += _MEMORY * (late - self.lag)
         level = self._get_level()
         if level != self.level:
@@ -123,7 +123,7 @@
         """Return the level; a lower one needs a clearly smaller lag."""
         for level, limit in ((Level.SEVERE, _SEVERE), (Level.HIGH, _HIGH)):
             if self.level >= level:
-                limit *= _RELIEVED_PART
+                limit *= _RELIEVED_RATIO
             if self.lag > limit:
                 return level
         return Level.NONE
--- a/packages/valeweir_gateway/src/valeweir_gateway/publishing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/publishing.py
@@ -5,7 +5,7 @@
 from valeweir.exceptions import PlatformUnavailable
 
 _FIRST_PAUSE = 0.3
-_LONGEST_PAUSE = 5.0
+_MAX_PAUSE = 5.0
 
 
 class Publisher:
@@ -39,4 +39,4 @@
             except PlatformUnavailable as exc:
                 self._state.log.note("address not published", failed=True, why=str(exc))
             stopped.wait(pause)
-            pause = min(pause * 2, _LONGEST_PAUSE)
+            pause = min(pause * 2, _MAX_PAUSE)
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine.py
@@ -13,28 +13,28 @@
 
 # Upstreams that may end under a request before it is held. With one, each that ran
 # beside a crash would be.
-MOST_ENDED = 3
+MAX_ENDED = 3
 # How many more make it sure where upstreams end without it as well. Where one of six is
 # killed each 0.7 s for other reasons, one request in fifty of those tried up to four
 # times has seen three ends (30 simulated minutes).
 _MORE_ENDED = 1
 # Sends one after the other that tell a request from others that ran at the same time.
-_LEAST_RUNS = 2
+_MIN_RUNS = 2
 # Seconds until the first trial, and how many times longer the next wait is: clients
 # that try again at once have given up by then, and operators had time for the second.
 _FIRST_WAIT = 15.0
 _WAIT_FACTOR = 4.0
 # Trials without a whole answer, then only an operator lets the request go.
-_MOST_TRIALS = 2
+_MAX_TRIALS = 2
 # Where it is not sure a trial goes out at once, and so many seconds later another if
 # that one brought nothing; longer than a stream's first event takes.
 _TRIAL_TIME = 5.0
 # Seconds after which a quarantine ends by itself, so that records do not pile up, and
 # one that is not sure: what has ended is remembered for longer.
 _LONGEST = 86_400.0
-_LONGEST_UNSURE = 60.0
+_MAX_UNSURE = 60.0
 # Requests held at a time; each took three upstreams, or two at least.
-_MOST_HELD = 1_000
+_MAX_HELD = 1_000
 
 
 class Held(NamedTuple):
@@ -53,7 +53,7 @@
         record = self.record
         if not record.is_sure:
             return self.since + (_TRIAL_TIME if record.trials else 0.0)
-        if record.trials >= _MOST_TRIALS:
+        if record.trials >= _MAX_TRIALS:
             return None
         return self.since + _FIRST_WAIT * _WAIT_FACTOR**record.trials
 
@@ -71,8 +71,8 @@
     as is ``at``, the time of day in seconds.
     """
 
-    upstreams: int = MOST_ENDED
-    runs: int = _LEAST_RUNS
+    upstreams: int = MAX_ENDED
+    runs: int = _MIN_RUNS
     trials: int = 0
     is_sure: bool = True
     account: str | None = None
@@ -103,16 +103,16 @@
 
 def is_to_blame(count):
     """Return whether a request with this `crashes.Count` is held."""
-    return count.upstreams >= MOST_ENDED
+    return count.upstreams >= MAX_ENDED
 
 
-def is_surely_to_blame(count, others):
+def is_confirmed(count, others):
     """Return whether nothing else may have ended the upstreams.
 
     ``others`` is how many ended without it, for reasons that are not known.
     """
-    needed = MOST_ENDED + (_MORE_ENDED if others else 0)
-    return count.upstreams >= needed and count.runs >= _LEAST_RUNS
+    needed = MAX_ENDED + (_MORE_ENDED if others else 0)
+    return count.upstreams >= needed and count.runs >= _MIN_RUNS
 
 
 class Quarantine:
@@ -157,7 +157,7 @@
                 kept = False
             if kept:
                 self._kept.add(fingerprint)
-            if len(self._held) > _MOST_HELD:
+            if len(self._held) > _MAX_HELD:
                 self._drop(self._find_least())
             return known is None
 
@@ -171,7 +171,7 @@
         return [
             key
             for key, held in self.get_all().items()
-            if now - held.since > (_LONGEST if held.record.is_sure else _LONGEST_UNSURE)
+            if now - held.since > (_LONGEST if held.record.is_sure else _MAX_UNSURE)
         ]
 
     def _find_least(self):
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -1,16 +1,16 @@
 """What is counted and logged of requests, and learned of upstreams."""
 
-from .beliefs import describe_catalog, describe_upstream, describe_view
 from .exchanges import Fault
 from .fingerprints import format_fingerprint
 from .repeating import MISDIRECTED
 from .shares import describe_standing
+from .view_source import describe_catalog, describe_upstream, describe_view
 
 # Answers that blame the client for what it asks; wrong where the configuration in
 # force is an old one.
 _DENIALS = frozenset((401, 403, 404))
 # Characters of a client's host and path on a line: anybody may send anything.
-_LONGEST_ASKED = 80
+_MAX_ASKED = 80
 
 
 def note_refusal(state, job, refusal):
@@ -40,7 +40,7 @@
     """Return the fields that tell what was denied, and by which configuration."""
     request = job.request
     return {
-        "asked_host": request.headers.get("Host", "")[:_LONGEST_ASKED],
+        "asked_host": request.headers.get("Host", "")[:_MAX_ASKED],
         "asked_path": _get_prefix(request.path),
         **describe_catalog(state, state.clock()),
     }
@@ -48,7 +48,7 @@
 
 def _get_prefix(path):
     """Return what a path has before its last slash, which routes go by."""
-    return path[: path.rfind("/") + 1][:_LONGEST_ASKED]
+    return path[: path.rfind("/") + 1][:_MAX_ASKED]
 
 
 def note_result(state, job, choice, failure, work):
--- a/packages/valeweir_gateway/src/valeweir_gateway/refreshing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/refreshing.py
@@ -8,11 +8,11 @@
 asks it again on a new connection.
 """
 
-from .duties import get_longest_age
+from .store_readers import get_longest_age
 
 # All in seconds.
 # A call younger than this may still be answered at once.
-_LEAST_WAIT = 0.2
+_MIN_WAIT = 0.2
 _PAUSE = 1.0
 _APPLY_PAUSE = 0.3
 
@@ -23,7 +23,7 @@
     Parameters
     ----------
     followers : following.Followers
-    duty : duties.StoreDuty
+    duty : store_readers.StoreDuty
     """
 
     def __init__(self, state, followers, duty):
@@ -42,7 +42,7 @@
         self._apply_again(now)
         if now < self._next or not self._is_due(now) or not self._duty.reads_store():
             return
-        waiting = [row for row in self._followers if row.is_waiting(now, _LEAST_WAIT)]
+        waiting = [row for row in self._followers if row.is_waiting(now, _MIN_WAIT)]
         if not waiting:
             return
         self._next = now + _PAUSE
--- a/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
@@ -5,7 +5,7 @@
 from valeweir.models import OUTCOME_HEADER, Outcome
 
 # The most of a request's time that its client may be told to wait.
-_RETRY_PART = 1 / 3
+_RETRY_RATIO = 1 / 3
 
 
 class Refusal(NamedTuple):
@@ -24,7 +24,7 @@
 
 def limit_retry(job, seconds, now):
     """Return a time to come back that leaves the client time to be served."""
-    return min(seconds, (job.deadline - now) * _RETRY_PART)
+    return min(seconds, (job.deadline - now) * _RETRY_RATIO)
 
 
 def send_refusal(reply, refusal, request_id, id_header):
--- a/packages/valeweir_gateway/src/valeweir_gateway/relays.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/relays.py
@@ -15,7 +15,7 @@
 from .reports import Role
 
 _GROUP_SIZE = 16
-_LEAST_RELAYS = 2
+_MIN_RELAYS = 2
 _STANDBYS = 2
 
 
@@ -39,7 +39,7 @@
     if is_mesh:
         return domain_size
     wanted = math.ceil(domain_size / _GROUP_SIZE)
-    return min(domain_size, max(_LEAST_RELAYS, wanted))
+    return min(domain_size, max(_MIN_RELAYS, wanted))
 
 
 def make_plan(members, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/repeating.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/repeating.py
@@ -40,7 +40,7 @@
     return state.suspects.get_count(job.fingerprint).upstreams > 1
 
 
-def be_honest(job, refusal):
+def downgrade_if_ambiguous(job, refusal):
     """Return the refusal, or one that promises nothing where it may have run."""
     if job.may_have_run:
         return Refusal(502, refusal.code, Outcome.UNKNOWN)
--- a/packages/valeweir_gateway/src/valeweir_gateway/reporter.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reporter.py
@@ -1,6 +1,6 @@
 """What this gateway says of itself in its reports, and what theirs say of its view."""
 
-from .blaming import Notice
+from .crash_attribution import Notice
 from .crashes import Crash
 from .freshness import Stamps, make_echo
 from .reports import VERSION, Report, get_digest
@@ -10,12 +10,12 @@
 
 
 def get_notices(report, now):
-    """Return the `blaming.Notice` of a report, times as on this gateway's clock."""
+    """Return the `Notice` rows of a report, with times on this gateway's clock."""
     notices = [
         Notice(fingerprint, Crash(instance, now - sent / 1000.0, now - ended / 1000.0))
         for fingerprint, instance, sent, ended in report.crashes
     ]
-    return notices + [Notice(fingerprint, None) for fingerprint in report.acquitted]
+    return notices + [Notice(fingerprint, None) for fingerprint in report.cleared]
 
 
 def _make_row(notice, now):
@@ -95,7 +95,7 @@
             echo=make_echo(peer.report if peer else None),
             quarantine_offset=state.quarantine_offset,
             crashes=[_make_row(row, now) for row in notices if row.crash],
-            acquitted=[row.fingerprint for row in notices if not row.crash],
+            cleared=[row.fingerprint for row in notices if not row.crash],
         )
 
     def note_view(self, report):
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -16,10 +16,10 @@
 
 VERSION = 2
 MAX_BYTES = 1_400
-_KEPT_PART = 0.75
+_KEPT_RATIO = 0.75
 # Engines left out look idle and accounts left out look starved, which does more harm;
 # so the engines with least to do go first, down to this many.
-_LEAST_LOADS = 40
+_MIN_LOADS = 40
 # Digests kept: of the parts, instances and accounts in use at a time.
 _DIGESTS = 32_768
 
@@ -59,7 +59,7 @@
     ``stamp`` is the sender's clock in milliseconds; ``echo`` sends the receiver's own
     newest stamp back to it. ``quarantine_offset`` is how far the sender has read the
     quarantine topic. ``crashes`` lists (request's fingerprint, instance digest,
-    milliseconds since it was sent there, since the instance ended), and ``acquitted``
+    milliseconds since it was sent there, since the instance ended), and ``cleared``
     the fingerprints of suspect requests that were answered whole.
     """
 
@@ -86,7 +86,7 @@
     echo: Echo = Echo()
     quarantine_offset: int = 0
     crashes: list[tuple[int, int, int, int]] = []
-    acquitted: list[int] = []
+    cleared: list[int] = []
 
     @property
     def view_offsets(self):
@@ -113,8 +113,8 @@
         data = _encoder.encode(report)
     if len(data) <= MAX_BYTES:
         return [data]
-    figures = _encode_figures(replace(report, reads=[], crashes=[], acquitted=[]))
-    if not (report.reads or report.crashes or report.acquitted):
+    figures = _encode_figures(replace(report, reads=[], crashes=[], cleared=[]))
+    if not (report.reads or report.crashes or report.cleared):
         return [figures]
     hints = replace(report, loads={}, usage={}, only_hints=True)
     return [_encoder.encode(hints), figures]
@@ -124,7 +124,7 @@
     """Return the bytes of a report, without the smallest figures if need be."""
     data = _encoder.encode(report)
     while len(data) > MAX_BYTES:
-        if len(report.loads) > _LEAST_LOADS:
+        if len(report.loads) > _MIN_LOADS:
             loads = _keep_greatest(report.loads)
             report = msgspec.structs.replace(report, loads=loads)
         else:
@@ -145,4 +145,4 @@
 
 def _keep_greatest(rows):
     kept = sorted(rows.items(), key=lambda item: item[1], reverse=True)
-    return dict(kept[: int(len(kept) * _KEPT_PART)])
+    return dict(kept[: int(len(kept) * _KEPT_RATIO)])
--- a/packages/valeweir_gateway/src/valeweir_gateway/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/servers.py
@@ -17,10 +17,10 @@
 _FULL_PAUSE = 0.01
 # Parts of the connections that may be open: from the first on connections end
 # with their answer, from the second on the longest idle are closed.
-_CROWDED_PART = 0.6
-_FULL_PART = 0.8
+_CROWDED_RATIO = 0.6
+_FULL_RATIO = 0.8
 # From this part on the balancer should send nobody new: who is ready accepts.
-_ACCEPTING_PART = 0.95
+_ACCEPTING_RATIO = 0.95
 # Seconds between looks at idle and half-sent connections.
 _SWEEP = 0.25
 
@@ -93,12 +93,12 @@
     @property
     def is_full(self):
         """Return whether hardly any new connection can be accepted."""
-        return len(self._tasks) > _ACCEPTING_PART * self.max_connections
+        return len(self._tasks) > _ACCEPTING_RATIO * self.max_connections
 
     @property
     def is_crowded(self):
         """Return whether connections should end with their answer."""
-        return len(self._connections) > _CROWDED_PART * self.max_connections
+        return len(self._connections) > _CROWDED_RATIO * self.max_connections
 
     def _accept_waiting(self):
         for _ in range(_ACCEPTS_A_TURN):
@@ -145,7 +145,7 @@
         now = self.loop.time()
         for conn in list(self._connections):
             conn.sweep(now)
-        excess = len(self._connections) - int(_FULL_PART * self.max_connections)
+        excess = len(self._connections) - int(_FULL_RATIO * self.max_connections)
         if excess > 0:
             idle = [conn for conn in self._connections if conn.is_idle]
             idle.sort(key=lambda conn: conn.heard)
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -13,10 +13,10 @@
 # Descriptors for files, listening sockets and calls of the store, as the platform
 # counts; of the others each request under way takes one beside its client's.
 _FILE_DESCRIPTORS = 200
-_CLIENTS_PART = 0.65
-_LEAST_INFLIGHT = 64
+_CLIENTS_RATIO = 0.65
+_MIN_INFLIGHT = 64
 # Each takes two descriptors, of which the smallest hosts have 4,000.
-_MOST_INFLIGHT = 1_200
+_MAX_INFLIGHT = 1_200
 
 
 class Listen(msgspec.Struct, frozen=True):
@@ -127,7 +127,7 @@
     @property
     def most_clients(self):
         """Return how many connections of clients may be open."""
-        return int((self.limit - _FILE_DESCRIPTORS) * _CLIENTS_PART)
+        return int((self.limit - _FILE_DESCRIPTORS) * _CLIENTS_RATIO)
 
 
 class Streams(msgspec.Struct, frozen=True):
@@ -164,7 +164,7 @@
     def most_inflight(self):
         """Return how many requests may be under way."""
         room = (self.memory.limit_mb - _BASE_MB) / _REQUEST_MB
-        return int(min(_MOST_INFLIGHT, max(_LEAST_INFLIGHT, room)))
+        return int(min(_MAX_INFLIGHT, max(_MIN_INFLIGHT, room)))
 
 
 class SettingsFile:
--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -18,24 +18,21 @@
 # Seconds for which one reckoning of the level serves.
 _REFRESH = 0.05
 # Factors of the limit on waiting, by the part of its share that an account has had.
-_LEAST_FACTOR = 0.25
-_GREATEST_FACTOR = 1.4
+_MIN_FACTOR = 0.25
+_MAX_FACTOR = 1.4
 _STEEPNESS = 3.0
-_SMALL_PART = 0.5
+_SMALL_RATIO = 0.5
 # An account that has had less than this part of its due, by some of its requests, may
 # wait still longer, by as much as is added to its factor: late is better than never.
-# With three of five engines slow small accounts get 0.86 of what they ask with it, 0.75
-# without, on the fake clock of the tests.
-_STARVED_PART = 0.8
+_STARVED_RATIO = 0.8
 _STARVED_REQUESTS = 2
 _STARVED_FACTOR = 1.5
 # How many times its share an account's tries may make up, where nothing waits at the
 # engine and where much does. The first keeps engines busy and finds out when more can
-# be served: 0.89 to 1.00 of them read with it in test_fairness, 0.64 to 0.80 with 2.
-_MOST_HEADROOM = 8.0
-_LEAST_HEADROOM = 1.0
-# By which power of its lead an account beyond its share is thinned further; 3 did no
-# better than 2.
+# be served.
+_MAX_HEADROOM = 8.0
+_MIN_HEADROOM = 1.0
+# Exponent of its lead by which an account beyond its share is thinned further.
 _CORRECTION = 2.0
 _NOTHING = Amount(0, 0)
 
@@ -152,7 +149,7 @@
     """
     if view.level is None or view.asked <= 0:
         return 1.0
-    headroom = _MOST_HEADROOM + (_LEAST_HEADROOM - _MOST_HEADROOM) * crowding
+    headroom = _MAX_HEADROOM + (_MIN_HEADROOM - _MAX_HEADROOM) * crowding
     # After an outage nothing was begun, and by the level alone a usual load would be
     # thinned for 2 s on idle engines; by what is declared all of it passes.
     # It may be infinite, which times nothing is no number.
@@ -172,24 +169,24 @@
     # The level is 0 where nothing was asked for within the window.
     used = view.begun / view.level if view.begun else 0.0
     if used > 1.0:
-        return max(_LEAST_FACTOR, 1.0 - _STEEPNESS * (used - 1.0))
+        return max(_MIN_FACTOR, 1.0 - _STEEPNESS * (used - 1.0))
     return max(_compute_factor_below(used), _compute_starved_factor(view, cost))
 
 
 def _compute_factor_below(used):
-    if used <= _SMALL_PART:
-        return _GREATEST_FACTOR
-    below = (1.0 - used) / (1.0 - _SMALL_PART)
-    return 1.0 + below * (_GREATEST_FACTOR - 1.0)
+    if used <= _SMALL_RATIO:
+        return _MAX_FACTOR
+    below = (1.0 - used) / (1.0 - _SMALL_RATIO)
+    return 1.0 + below * (_MAX_FACTOR - 1.0)
 
 
 def _compute_starved_factor(view, cost):
     due = min(view.asked, view.level)
-    missing = _STARVED_PART * due - view.begun
+    missing = _STARVED_RATIO * due - view.begun
     if missing <= 0 or cost <= 0:
         return 0.0
     part = min(1.0, missing / (_STARVED_REQUESTS * cost))
-    return _GREATEST_FACTOR + part * _STARVED_FACTOR
+    return _MAX_FACTOR + part * _STARVED_FACTOR
 
 
 def describe_standing(standing, oldest_report=None):
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -7,31 +7,31 @@
 
 from valeweir.timers import TimerService, get_lease_time
 
+from .client_deadlines import Patience
 from .connections import Connections
 from .crashes import Suspects
 from .directory import Directory
 from .domains import Domains
-from .endings import Endings
 from .evacuations import Evacuations
+from .expired_records import Lapses
 from .freshness import Freshness
 from .goals import RecentGoals
 from .headers import HeaderNames, get_own_headers, get_replaced_headers
 from .intake import Intake
-from .lapses import Lapses
 from .loads import Loads, Reads
 from .members import Member, Members
 from .metrics import GatewayMetrics
-from .patience import Patience
 from .pressure import Overload, Pressure, get_intake_level, get_occupancy_level
+from .process_pauses import Stalls
 from .quarantine import Quarantine
 from .retries import RetryBudget
 from .shares import Shares
 from .slowstart import SlowStart, create_gateway_count
-from .stalls import Stalls
+from .upstream_exits import Endings
 from .usage import UsageWindow
 
 # As many as an upstream or two run at a time; older ones are left out.
-_MOST_NOTICES = 200
+_MAX_NOTICES = 200
 
 
 class GatewayState:
@@ -99,8 +99,8 @@
         self.quarantine_known = False
         # Set by the gateway, as it writes to the store.
         self.quarantine_store = None
-        # `blaming.Notice` of this gateway that peers are not told yet.
-        self.notices = collections.deque(maxlen=_MOST_NOTICES)
+        # `crash_attribution.Notice` of this gateway that peers are not told yet.
+        self.notices = collections.deque(maxlen=_MAX_NOTICES)
         retries = cfg.retries
         self.retries = RetryBudget(retries.ratio, retries.slack, retries.window)
         self.slow_start = SlowStart(
--- a/packages/valeweir_gateway/src/valeweir_gateway/duties.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/store_readers.py
@@ -18,7 +18,7 @@
 # The same in a mesh, where everybody hears the one that asks often.
 _TOLD_TIME = 0.4
 _FLEET_POLL = 1.0
-_LEAST_POLL = 0.2
+_MIN_POLL = 0.2
 # At the start others may soon be heard that have read the store already.
 _MEMBERS_WAIT = 1.0
 _VIEW_WAIT = 2.0
@@ -109,9 +109,7 @@
         if is_mesh and not self._is_first_of_all(state.clock()):
             return poll
         told = _TOLD_TIME if is_mesh else _RELAYED_TIME
-        return min(
-            poll, _FLEET_POLL, max(_LEAST_POLL, get_longest_age(state.cfg) - told)
-        )
+        return min(poll, _FLEET_POLL, max(_MIN_POLL, get_longest_age(state.cfg) - told))
 
     def _decide(self, now):
         state = self._state
--- a/packages/valeweir_gateway/src/valeweir_gateway/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/streams.py
@@ -7,7 +7,7 @@
 
 # The rest of the time that an event may be held is for the network and for a
 # processor that is busy.
-_RESTING_PART = 0.3
+_RESTING_RATIO = 0.3
 
 
 async def forward_stream(state, job, exchange, head, work):
@@ -19,7 +19,7 @@
     most of the processor time goes into wake-ups and calls, not into bytes.
     """
     splitter = EventSplitter()
-    rest = state.cfg.streams.max_delay_ms / 1000.0 * _RESTING_PART
+    rest = state.cfg.streams.max_delay_ms / 1000.0 * _RESTING_RATIO
     while True:
         item = await exchange.read()
         if isinstance(item, Failure):
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -18,7 +18,7 @@
 _CHECK = 0.15
 _PATIENCE = 0.25
 _TIMEOUT = 0.5
-_LONGEST_BEHIND = 0.6
+_MAX_BEHIND = 0.6
 # Below the offset of a topic that is empty.
 _NEVER_READ = -1
 
@@ -94,7 +94,7 @@
     followers : following.Followers
     port : int
         Port of the fleet's HTTP interface, the same at every gateway.
-    duty : duties.StoreDuty
+    duty : store_readers.StoreDuty
         Told when peers do not give their view in time.
     refresher : refreshing.Refresher
     """
@@ -204,7 +204,7 @@
         if self._behind_since is None:
             self._behind_since = now
         behind = now - self._behind_since
-        if behind > _LONGEST_BEHIND:
+        if behind > _MAX_BEHIND:
             self._duty.note_behind(now)
         # The store's own answer is usually a moment away.
         patience = _PATIENCE if self._duty.reads_store() else 0.0
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -2,7 +2,7 @@
 
 import threading
 
-from . import blaming
+from . import crash_attribution
 from .adapters import BadRecord
 from .directory import Noted
 from .fingerprints import parse_fingerprint
@@ -11,8 +11,8 @@
 
 # Keys with bad records that are known, and the characters of a line's texts: anybody
 # may write there.
-_MOST_BAD = 1_000
-_LONGEST_TEXT = 120
+_MAX_BAD = 1_000
+_MAX_TEXT = 120
 
 
 class ViewKeeper:
@@ -210,7 +210,9 @@
         except ValueError as exc:
             self._note_bad(entry.key, entry.offset, exc)
             return
-        blaming.take_record(self._state, fingerprint, record, self._state.clock())
+        crash_attribution.take_record(
+            self._state, fingerprint, record, self._state.clock()
+        )
 
     def note_quarantine(self, offset):
         """Note that every quarantine written before ``offset`` is known."""
@@ -246,16 +248,16 @@
     def _note_bad(self, what, offset, exc):
         """Count a record that cannot be used, with one line until it is sound again."""
         self._state.bad_records += 1
-        if what in self._bad or len(self._bad) >= _MOST_BAD:
+        if what in self._bad or len(self._bad) >= _MAX_BAD:
             return
         self._bad.add(what)
         self._state.bad_keys = len(self._bad)
         self._state.log.note(
             "bad record",
             failed=True,
-            key=what[:_LONGEST_TEXT],
+            key=what[:_MAX_TEXT],
             offset=offset,
-            why=str(exc)[:_LONGEST_TEXT],
+            why=str(exc)[:_MAX_TEXT],
         )
 
     def _note_sound(self, what):
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -21,12 +21,12 @@
     Service,
     Target,
 )
+from valeweir_gateway.client_deadlines import Patience
 from valeweir_gateway.directory import Directory, Instance
 from valeweir_gateway.goals import RecentGoals
 from valeweir_gateway.intake import Intake
 from valeweir_gateway.loads import Loads
 from valeweir_gateway.members import Member, Members
-from valeweir_gateway.patience import Patience
 from valeweir_gateway.placement import Choice
 from valeweir_gateway.pressure import Level, Overload, Pressure, get_occupancy_level
 from valeweir_gateway.prompts import Prompt
--- a/packages/valeweir_gateway/tests/test_leaving.py
+++ b/packages/valeweir_gateway/tests/test_leaving.py
@@ -18,9 +18,9 @@
 
 from valeweir.exceptions import PlatformUnavailable
 from valeweir_gateway.directory import Instance
-from valeweir_gateway.duties import StoreDuty
 from valeweir_gateway.follower import TopicFollower
 from valeweir_gateway.members import Member
+from valeweir_gateway.store_readers import StoreDuty
 from valeweir_gateway.stores import HistoryExpired
 from valeweir_gateway.syncing import (
     ViewSync,
--- a/packages/valeweir_gateway/tests/test_stalls.py
+++ b/packages/valeweir_gateway/tests/test_stalls.py
@@ -1,6 +1,6 @@
 import unittest
 
-from valeweir_gateway.stalls import Stalls
+from valeweir_gateway.process_pauses import Stalls
 
 
 class TestStalls(unittest.TestCase):
--- a/packages/valeweir_gateway/tests/test_views.py
+++ b/packages/valeweir_gateway/tests/test_views.py
@@ -5,8 +5,8 @@
 from valeweir.exceptions import PlatformUnavailable
 from valeweir_gateway.catalog import Service
 from valeweir_gateway.directory import Instance
+from valeweir_gateway.expired_records import Lapses
 from valeweir_gateway.follower import TopicFollower
-from valeweir_gateway.lapses import Lapses
 from valeweir_gateway.members import Member
 from valeweir_gateway.stores import HistoryExpired
 from valeweir_gateway.syncing import (
--- a/packages/valeweir_sharing/src/valeweir_sharing/health.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/health.py
@@ -2,7 +2,7 @@
 
 _ERRORS_TO_EJECT = 3
 _FIRST_PAUSE = 2.0
-_LONGEST_PAUSE = 60.0
+_MAX_PAUSE = 60.0
 
 
 class Condition:
@@ -48,7 +48,7 @@
             return None
         pause = cond.pause * self._rng.uniform(0.75, 1.25)
         cond.until = now + pause
-        cond.pause = min(cond.pause * 2, _LONGEST_PAUSE)
+        cond.pause = min(cond.pause * 2, _MAX_PAUSE)
         cond.probing = False
         return pause
 
--- a/packages/valeweir_sharing/src/valeweir_sharing/limits.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/limits.py
@@ -5,8 +5,8 @@
 from valeweir.models import WorkClass
 
 _SHARE_FACTOR = 4.0
-_LEAST_PLACES = 8
-_READING_PART = 0.75
+_MIN_PLACES = 8
+_READING_RATIO = 0.75
 _MAX_RETRY_AFTER = 30.0
 
 
@@ -58,8 +58,8 @@
     """
     places = limits.max_waiting * min(1.0, _SHARE_FACTOR * part)
     if work_class is WorkClass.READING:
-        places *= _READING_PART
-    return max(_LEAST_PLACES, int(places))
+        places *= _READING_RATIO
+    return max(_MIN_PLACES, int(places))
 
 
 def find_excess(limits, occupancy, account, part, work_class, size):
--- a/packages/valeweir_sharing/src/valeweir_sharing/pace.py
+++ b/packages/valeweir_sharing/src/valeweir_sharing/pace.py
@@ -4,7 +4,7 @@
 _SHRINK = 0.95
 _COMFORT = 0.8
 _MEMORY = 0.3
-_MOST_PRESSURE = 8.0
+_MAX_PRESSURE = 8.0
 INTERVALS_IN_LEASE = 6
 
 
@@ -54,7 +54,7 @@
         if self._interval < self._longest:
             self._interval = min(self._interval * _STRETCH, self._longest)
         else:
-            self.pressure = min(self.pressure * _STRETCH, _MOST_PRESSURE)
+            self.pressure = min(self.pressure * _STRETCH, _MAX_PRESSURE)
 
     def _relax(self):
         if self.pressure > 1.0:
