--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -87,6 +87,8 @@
         self.catalog_topic = None
         self.instance_topic = None
         self.reads_store = False
+        # This gateway's own record in the list of members, None where it has none.
+        self.member_record = None
         # Set where a report shows a view that is newer than ours.
         self.newer_view = threading.Event()
         self.usage = UsageWindow(cfg.sharing.window)
--- a/packages/valeweir_gateway/src/valeweir_gateway/store_readers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/store_readers.py
@@ -92,9 +92,14 @@
         return uptime >= _MEMBERS_FOLLOWED or self._members_due == math.inf
 
     def note_members_read(self):
-        """Record that the list of members was read."""
+        """Record that the list of members was read.
+
+        Who finds itself there was restarted, and so are the others that it knows then.
+        """
         is_first = self._state.clock() - self._started < _MEMBERS_READ_AGAIN
-        self._members_due = _MEMBERS_READ_AGAIN if is_first else math.inf
+        is_listed = self._state.member_record is not None
+        read_again = is_first and not is_listed
+        self._members_due = _MEMBERS_READ_AGAIN if read_again else math.inf
 
     def get_poll(self):
         """Return how long a call waits for a record, in seconds.
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -192,6 +192,8 @@
 
     def apply_member(self, entry):
         """Take in a record of the members topic: where a gateway listens."""
+        if entry.key == self._state.cfg.host:
+            self._state.member_record = entry.value
         if entry.value is None:
             return
         try:
--- a/packages/valeweir_gateway/tests/test_duties.py
+++ b/packages/valeweir_gateway/tests/test_duties.py
@@ -61,6 +61,13 @@
         self.assertGreater(reads[1] - reads[0], 2.0)
         self.assertTrue(duty.has_read_members())
 
+    def test_a_gateway_that_is_listed_reads_members_once(self):
+        duty = make_duty(next(iter(self.wire.fleets.values())))
+        self.wire.states["h0"].member_record = b"d0 10.0.0.1:7400 1"
+        self.assertTrue(duty.reads_members())
+        duty.note_members_read()
+        self.assertTrue(duty.has_read_members())
+
     def test_members_are_not_read_for_ever_while_the_store_is_away(self):
         duty = make_duty(next(iter(self.wire.fleets.values())))
         self.wire.now += 4.0
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_publishing.py
@@ -0,0 +1,65 @@
+import threading
+import unittest
+
+from valeweir.exceptions import PlatformUnavailable
+from valeweir_gateway.members import Member
+from valeweir_gateway.publishing import Publisher
+from viewing import make_state
+
+
+class Store:
+    def __init__(self, faults=0):
+        self.faults = faults
+        self.puts = []
+
+    def put(self, topic, key, value):
+        self.puts.append((topic, key, value))
+        if len(self.puts) <= self.faults:
+            raise PlatformUnavailable("down")
+
+
+class Adapter:
+    member_topic = "members"
+
+    def __init__(self, store):
+        self.store = store
+
+
+class TestPublisher(unittest.TestCase):
+    def setUp(self):
+        self.now = 0.0
+        self.state = make_state(Member("a", "x", "10.0.0.1:7400"), self.tell_time)
+        self.state.members_known = True
+        self.store = Store()
+        self.publisher = Publisher(self.state, Adapter(self.store), "10.0.0.1:7400")
+
+    def tell_time(self):
+        self.now += 0.1
+        return self.now
+
+    def run_publisher(self):
+        self.publisher.run(threading.Event())
+
+    def test_a_new_gateway_writes_its_record_once(self):
+        self.run_publisher()
+        self.assertEqual(self.store.puts, [("members", "a", b"x 10.0.0.1:7400 1")])
+
+    def test_one_that_was_here_before_writes_none(self):
+        self.state.member_record = self.publisher.make_record()
+        self.run_publisher()
+        self.assertEqual(self.store.puts, [])
+
+    def test_another_address_is_written(self):
+        self.state.member_record = b"x 10.0.0.9:7400 1"
+        self.run_publisher()
+        self.assertEqual(len(self.store.puts), 1)
+
+    def test_a_store_that_gives_no_list_is_not_waited_for_for_ever(self):
+        self.state.members_known = False
+        self.run_publisher()
+        self.assertEqual(len(self.store.puts), 1)
+
+    def test_a_write_that_fails_is_tried_again(self):
+        self.store.faults = 1
+        self.run_publisher()
+        self.assertEqual(len(self.store.puts), 2)
--- a/packages/valeweir_standins/src/valeweir_standins/wires.py
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -110,6 +110,7 @@
         log=SimpleNamespace(note=lambda *args, **fields: None),
         members=Members(member),
         members_known=True,
+        member_record=None,
         newer_view=threading.Event(),
         view_offsets=(0, 0, 0),
         reads=Reads(),
