--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -154,7 +154,8 @@
         return choose_instance(rows, state.loads, zone, now, state.rng)
     engine = job.catalog.services[job.service].engine
     patience = _PATIENCE_RATIO * job.route.goal
-    return choose_engine(job.prompt, rows, state.loads, now, engine, patience)
+    target = job.route.goal
+    return choose_engine(job.prompt, rows, state.loads, now, engine, patience, target)
 
 
 def _note_asked(state, job):
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -128,6 +128,14 @@
         """Return the same for an instance that has nothing else to read."""
         return self.base + load.slowness * tokens / self.rate
 
+    def estimate_backlog(self, instances, now):
+        """Return the mean seconds that instances have to read already."""
+        if not instances:
+            return 0.0
+        loads = [self.get(row.id, now) for row in instances]
+        unread = sum(load.unread + load.remote_unread for load in loads)
+        return unread / len(loads) / self.rate
+
     def estimate_call(self, load, slots):
         """Return seconds that a plain call takes at an instance with ``slots``.
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement.py
@@ -5,20 +5,22 @@
 
 import xxhash
 
-# Seconds that a second of reading anew weighs; rounds 6 and 9 of MEASUREMENTS.md.
+from .cold_caches import Spread, choose_spread
+
+# Weight of a second of reading a cached prompt anew, against a second of waiting.
 _REREAD_WEIGHT = 3.5
 # Seconds for each place in the order: among idle instances the first one wins.
 _RANK_WAIT = 0.005
 # Instances weighed at first, and more at a time. Two would spread load nearly as
 # well as all with news that were never old; four leave room for slow ones.
 _WIDTH = 4
-# Seconds that a second of moving parts weighs; 8, 16 and 32 were measured.
+# Weight of a second of moving cached parts.
 _MOVE_WEIGHT = 16.0
 # Seconds that a move takes besides its bytes.
 _MOVE_BASE = 0.005
 # Tokens; what is less is read sooner than moved.
-_LEAST_MOVE = 500
-_MOST_HOLDERS = 4
+_MIN_MOVE = 500
+_MAX_HOLDERS = 4
 # Seconds for a plain call to another domain and back: two ways of 0.5 to 1.4 ms.
 _REMOTE_ZONE_WAIT = 0.002
 # Multiplicative hashing: 2 ** 64 divided by the golden ratio, and odd.
@@ -57,7 +59,9 @@
     )
 
 
-def choose_engine(prompt, instances, loads, now, engine=None, patience=0.0):
+def choose_engine(
+    prompt, instances, loads, now, engine=None, patience=0.0, target=None
+):
     """Return the `Choice` with the least wait and price, or None.
 
     A shared part is taken as read where the instance, this gateway or a peer
@@ -72,12 +76,26 @@
     differ from prompt to prompt: the first in rendezvous order and those that
     hold most of it. More are weighed only while the wait for others is longer
     than ``patience``, in seconds.
+
+    ``target`` is the route's latency target in seconds, from which and the engines'
+    backlog follows how far prompts are spread; see `cold_caches`.
     """
     ranked = rank_instances(prompt.home or prompt.own_id, instances)
     held = loads.count_held(prompt.shared, now)
     holders = find_holders(held, ranked, engine)
+    spread = Spread()
+    if target is not None:
+        spread = choose_spread(loads.estimate_backlog(instances, now), target)
+    missing = prompt.tokens - prompt.own - max(held.values(), default=0)
     weigh = functools.partial(
-        _weigh, prompt, held=held, holders=holders, loads=loads, now=now, engine=engine
+        _weigh,
+        prompt,
+        held=held,
+        holders=holders,
+        loads=loads,
+        now=now,
+        engine=engine,
+        home_discount=spread.home_discount * missing,
     )
     options = [weigh(rank, row) for rank, row in enumerate(ranked[:_WIDTH])]
     options += [weigh(_WIDTH, row) for row, _ in holders if row not in ranked[:_WIDTH]]
@@ -88,7 +106,8 @@
         weighed += _WIDTH
     if not options:
         return None
-    best = min(options, key=lambda option: option.score)
+    in_time = [option for option in options if option.wait <= spread.max_wait]
+    best = min(in_time or options, key=lambda option: option.score)
     return Choice(
         best.instance, best.unread, best.wait, best.alone, best.reason, best.source
     )
@@ -111,7 +130,7 @@
     source: object
 
 
-def _weigh(prompt, rank, instance, held, holders, loads, now, engine):
+def _weigh(prompt, rank, instance, held, holders, loads, now, engine, home_discount):
     cached = held.get(instance.id, 0)
     if rank == 0 and not loads.is_listed(instance.id):
         cached = prompt.tokens - prompt.own
@@ -128,6 +147,9 @@
     wait = loads.estimate_wait(load, unread) + move
     alone = loads.estimate_alone(load, unread) + move
     reread = max(0, unread - prompt.own)
+    if rank == 0:
+        # What no engine holds has to be read once, and all gateways look for it here.
+        reread = max(0, reread - home_discount)
     price = _REREAD_WEIGHT * reread / loads.rate + _MOVE_WEIGHT * move
     score = wait + price + _RANK_WAIT * rank
     found = source[0] if source else None
@@ -142,7 +164,7 @@
     if not held or engine is None or engine.link_rate <= 0.0:
         return []
     rows = [(row, held[row.id]) for row in instances if row.id in held]
-    return sorted(rows, key=lambda row: row[1], reverse=True)[:_MOST_HOLDERS]
+    return sorted(rows, key=lambda row: row[1], reverse=True)[:_MAX_HOLDERS]
 
 
 def pick_source(instance, cached, holders):
@@ -150,7 +172,7 @@
 
     Of those that hold most, one in the same failure domain goes first.
     """
-    better = [row for row in holders if row[1] > cached + _LEAST_MOVE]
+    better = [row for row in holders if row[1] > cached + _MIN_MOVE]
     if not better:
         return None
     most = better[0][1]
