--- a/packages/valeweir_gateway/src/valeweir_gateway/caches.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/caches.py
@@ -27,18 +27,11 @@
 
 def choose_peer(members, now):
     """Return the `Member` to ask for what engines hold, or None to ask engines."""
-    if members.is_mesh:
-        return None
-    for member in members.get_ranked(members.own.domain):
-        if member == members.own:
-            return None
-        if not members.is_suspect(member.host, now):
-            return member
-    return None
+    return None if members.is_mesh else members.find_senior(now)
 
 
 def create_caches_handler(state):
-    """Return the handler that tells peers which prompt parts engines hold."""
+    """Return the handler that gives peers the prompt parts that engines hold."""
 
     def handle(request, reply):
         if request.method != "GET":
--- a/packages/valeweir_gateway/src/valeweir_gateway/crash_attribution.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/crash_attribution.py
@@ -24,7 +24,7 @@
 
 
 class Notice(NamedTuple):
-    """What peers are told of a request: its `Crash`, or None where it was cleared."""
+    """News of a request for peers: its `Crash`, or None where it was cleared."""
 
     fingerprint: int
     crash: Crash | None
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -49,8 +49,8 @@
         self._corrected = {}
         self._most = (1, 0.0)
         self._task = None
-        # Counts reports received; with the versions of what is reported it tells
-        # whether a tick has anything to do.
+        # Reports received so far; a tick has nothing to do while this and the versions
+        # of what is reported stay the same.
         self._received = 0
         self._done = None
         self._refresh_at = 0.0
--- a/packages/valeweir_gateway/src/valeweir_gateway/members.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/members.py
@@ -120,6 +120,18 @@
         """Return the members of a domain in an order that all agree on."""
         return self._ranked.get(domain, [])
 
+    def find_senior(self, now):
+        """Return the first member before this one in its domain that is not suspect.
+
+        None where there is none: then this gateway acts for its domain.
+        """
+        for member in self.get_ranked(self.own.domain):
+            if member == self.own:
+                return None
+            if not self.is_suspect(member.host, now):
+                return member
+        return None
+
     def note(self, report, address, now):
         """Take in a report; return its `Peer`, or None for an old one."""
         if report.host == self.own.host:
--- a/packages/valeweir_gateway/src/valeweir_gateway/store_readers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/store_readers.py
@@ -133,13 +133,7 @@
 
     def _is_first(self, now):
         """Return whether no gateway before this one in its domain answers."""
-        members = self._state.members
-        for row in members.get_ranked(members.own.domain):
-            if row == members.own:
-                return True
-            if not members.is_suspect(row.host, now):
-                return False
-        return True
+        return self._state.members.find_senior(now) is None
 
     def _is_first_of_all(self, now):
         """Return whether no gateway before this one in the fleet answers."""
