--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -2,7 +2,7 @@
 
 from . import streams
 from .answers import Head
-from .candidates import may_receive
+from .candidates import find_obstacle
 from .catalog import RouteKind
 from .checking import ANSWER_MARGIN
 from .connections import MAX_IDLE, connect
@@ -11,6 +11,7 @@
 from .pause_recovery import is_behind, wait_for_view
 from .recording import note_failure, note_result, note_sending
 from .repeating import MISDIRECTED
+from .upstream_signals import observe_head
 
 _FRESH_WITHIN = 1.0
 _PROMISES = frozenset((408, 421, 429, 503))
@@ -28,15 +29,19 @@
         note_failure(state, job, choice, sock)
         return sock
     now = state.clock()
-    must_wait = is_held(state, job) or is_behind(state, now)
-    if must_wait or not may_receive(state, job, instance, now):
+    obstacle = _find_obstacle(state, job, instance, now)
+    if obstacle is not None:
         sock.close()
-        return Failure(Fault.NOT_SENT, "the instance takes no more for now")
+        state.metrics.sends_withheld.labels(obstacle).inc()
+        return Failure(
+            Fault.NOT_SENT, f"the instance takes no more for now: {obstacle}"
+        )
     exchange = Exchange(
         sock,
         job.reply,
         lambda kept, lifetime: state.connections.keep(instance.id, kept, lifetime),
         state.names.request_id,
+        lambda head: observe_head(state, job, instance, head),
     )
     if job.sends == 0:
         job.first_sent = now
@@ -64,6 +69,15 @@
     return failure
 
 
+def _find_obstacle(state, job, instance, now):
+    """Return why the request may not be sent now, after all that it waited for."""
+    if is_held(state, job):
+        return "quarantined"
+    if is_behind(state, now):
+        return "view-old"
+    return find_obstacle(state, job, instance, now)
+
+
 def _note_begun(state, job, now):
     state.retries.note_request(job.service, now)
     if job.account is not None and job.prompt is not None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
@@ -32,13 +32,20 @@
 
 def may_receive(state, job, instance, now):
     """Return whether the instance chosen may still get the request."""
+    return find_obstacle(state, job, instance, now) is None
+
+
+def find_obstacle(state, job, instance, now):
+    """Return why the instance chosen may not get the request any more, or None."""
     if not state.directory.is_ready(instance.id):
-        return False
+        return "leaving"
     if instance.zone in state.evacuations.domains:
-        return False
+        return "evacuated"
     if job.permit == instance.id or not _needs_permit(state, job, instance, now):
-        return True
-    return state.slow_start.take(instance.id, _get_rate(job), now)
+        return None
+    if state.slow_start.take(instance.id, _get_rate(job), now):
+        return None
+    return "warming"
 
 
 def take_permit(state, job, instance, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/directory.py
@@ -1,9 +1,13 @@
 """Upstream instances as they announce themselves, by service."""
 
+import threading
 from typing import NamedTuple
 
 from .reports import get_digest
 
+# Lives kept that said that they leave; the oldest go first.
+_MAX_LEAVING = 1_000
+
 
 class Instance(NamedTuple):
     """One life of an upstream, from a start of its process to its end.
@@ -42,33 +46,68 @@
 
 
 class Directory:
-    """All instances known. Readers use `ready`; one thread writes."""
+    """All instances known, by their records and by what they say in answers."""
 
     def __init__(self):
         self.by_id = {}
         self._noted = {}
         self._ready = {}
         self._by_digest = {}
+        # Lives that said outside their record that they leave, and from where it is
+        # known. A life that leaves never comes back, whatever its record still says.
+        self._leaving = {}
+        # Records come from the store's readers, answers on the event loop.
+        self._lock = threading.Lock()
 
     def put(self, instance, noted=None):
         """Add or replace an instance, ``noted`` by a record."""
-        self._noted[instance.id] = noted
-        old = self.by_id.get(instance.id)
-        self.by_id[instance.id] = instance
-        self._by_digest[get_digest(instance.id)] = instance.id
-        self._index(instance.service)
-        if old is not None and old.service != instance.service:
-            self._index(old.service)
+        with self._lock:
+            self._noted[instance.id] = noted
+            old = self.by_id.get(instance.id)
+            self.by_id[instance.id] = instance
+            self._by_digest[get_digest(instance.id)] = instance.id
+            self._index(instance.service)
+            if old is not None and old.service != instance.service:
+                self._index(old.service)
 
     def remove(self, instance_id):
         """Forget an instance; return it, or None if it was not known."""
-        self._noted.pop(instance_id, None)
-        old = self.by_id.pop(instance_id, None)
-        if old is not None:
-            self._by_digest.pop(get_digest(instance_id), None)
-            self._index(old.service)
+        with self._lock:
+            self._noted.pop(instance_id, None)
+            old = self.by_id.pop(instance_id, None)
+            if old is not None:
+                self._by_digest.pop(get_digest(instance_id), None)
+                self._index(old.service)
+                if instance_id == old.announced_id:
+                    # Without the time of its start a later life has the same id.
+                    self._leaving.pop(instance_id, None)
         return old
 
+    def mark_leaving(self, instance_id, source):
+        """Note that a life leaves; return whether that is news."""
+        with self._lock:
+            instance = self.by_id.get(instance_id)
+            if instance_id in self._leaving:
+                return False
+            self._leaving[instance_id] = source
+            while len(self._leaving) > _MAX_LEAVING:
+                del self._leaving[next(iter(self._leaving))]
+            return instance is None or instance.ready
+
+    def get_leaving(self):
+        """Return the source by id of the lives whose record still says ready."""
+        with self._lock:
+            rows = {name: self.by_id.get(name) for name in self._leaving}
+            return {
+                name: self._leaving[name]
+                for name, row in rows.items()
+                if row is not None and row.ready
+            }
+
+    def count_leaving(self):
+        """Return how many instances leave by their record."""
+        return sum(not row.ready for row in list(self.by_id.values()))
+
     def get_noted(self, instance_id):
         """Return by which record an instance is known, or None."""
         return self._noted.get(instance_id)
--- a/packages/valeweir_gateway/src/valeweir_gateway/exchanges.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/exchanges.py
@@ -69,14 +69,17 @@
         Has ``is_gone`` and ``watch``; watched while waiting.
     keep : callable
         Called with ``(sock, lifetime)`` when the connection may be used again.
+    on_head : callable
+        Called with each `Head` as received, also where the answer is then rejected.
     """
 
-    def __init__(self, sock, client, keep, id_header):
+    def __init__(self, sock, client, keep, id_header, on_head=lambda head: None):
         sock.setblocking(False)
         self._sock = sock
         self._client = client
         self._keep = keep
         self._id_header = id_header.lower()
+        self._on_head = on_head
         self._parser = AnswerParser()
         self._reusable = True
         self._call = None
@@ -181,6 +184,7 @@
         return self._fail(Fault.LATE, "the time was up")
 
     def _check_head(self, head):
+        self._on_head(head)
         self._note_persistence(head.headers)
         named = head.headers.get(self._id_header)
         if named is not None and named != self._call.request_id:
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -1,12 +1,13 @@
 """One gateway: its parts made, started and stopped."""
 
 import asyncio
+import collections
 import threading
 import time
 
 from valeweir.timers import get_lease_time
 
-from . import crash_attribution, metrics
+from . import crash_attribution, metrics, upstream_signals
 from .caches import CACHES_PATH, CacheScout, create_caches_handler, create_fetch
 from .decisions import DecisionLog
 from .domains import PROBE_CHECK_S, DomainProber
@@ -33,6 +34,7 @@
 _GRACE_MARGIN = 0.6
 _STALE_CHECK = 1.0
 _CACHE_CHECK = 0.2
+_BACKOFF_CHECK = 0.5
 # Seconds for binding ports, and for closing them.
 _OPEN_WAIT = 10.0
 _CLOSE_WAIT = 2.0
@@ -94,6 +96,9 @@
         self.timers.subscribe(
             "quarantine", _STALE_CHECK, lambda: crash_attribution.end_old(state)
         )
+        self.timers.subscribe(
+            "backoffs", _BACKOFF_CHECK, lambda: upstream_signals.end_backoffs(state)
+        )
         self.timers.subscribe("caches", _CACHE_CHECK, self._scout.find_new)
         self.timers.subscribe("domains", PROBE_CHECK_S, self._prober.probe)
         self.timers.subscribe("limits", _STALE_CHECK, self._apply_limits)
@@ -197,6 +202,11 @@
         gauges.lag.set(state.pressure.lag)
         gauges.live_peers.set(len(state.members.get_live(state.clock())))
         gauges.instances.set(len(state.directory.by_id))
+        gauges.backing_off.set(state.backoffs.count_active(state.clock()))
+        sources = collections.Counter(state.directory.get_leaving().values())
+        for source in upstream_signals.SOURCES:
+            gauges.leaving.labels(source).set(sources[source])
+        gauges.leaving.labels("record").set(state.directory.count_leaving())
         gauges.report_bytes.set(self._fleet.sent_bytes)
         gauges.share_level.set(state.shares.get_level())
         if state.catalog:
--- a/packages/valeweir_gateway/src/valeweir_gateway/headers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/headers.py
@@ -10,7 +10,8 @@
     ``expected_version`` the version of an engine's weights. ``hold`` is a lease
     on a place and memory at an engine, ``pin`` keeps a prompt in its memory,
     ``backup_to`` has a copy of that memory kept elsewhere, and ``resume_from``
-    goes on from such a copy.
+    goes on from such a copy. ``leaving`` is "1" in answers of an upstream that will
+    take no new work.
     """
 
     request_id: str = "X-Request-Id"
@@ -29,6 +30,7 @@
     resume_from: str = "X-Valeweir-Resume-From"
     not_run: str = "X-Valeweir-Rejected"
     signature: str = "X-Valeweir-Signature"
+    leaving: str = "X-Valeweir-Leaving"
 
 
 HOP_BY_HOP = frozenset(
--- a/packages/valeweir_gateway/src/valeweir_gateway/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/loads.py
@@ -170,6 +170,12 @@
                 load.probing = True
             return Work(instance_id, tokens, ahead, running, now)
 
+    def note_head(self, instance_id, now):
+        """Note that the head of an answer has come."""
+        load = self._by_id.get(instance_id)
+        if load is not None:
+            load.answered = now
+
     def note_progress(self, work, now):
         """Note that something of the answer has come."""
         load = self.get(work.instance_id, now)
--- a/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/metrics.py
@@ -37,6 +37,14 @@
         self.upstream_ends = self._counter(
             "upstream_ends", "Sends under which their upstream was seen to end", ""
         )
+        self.backoffs = self._counter(
+            "upstream_backoffs", "Pauses that upstreams asked for", ""
+        )
+        self.sends_withheld = self._counter(
+            "sends_withheld",
+            "Sends chosen and not made, as the upstream takes no more, by reason",
+            "reason",
+        )
         self.headers_dropped = self._counter(
             "headers_dropped",
             "Headers from clients that only the fleet may set, by name",
@@ -78,6 +86,12 @@
         self.lag = self._gauge("processor_lag_seconds", "How late the event loop is")
         self.live_peers = self._gauge("live_peers", "Gateways heard from lately")
         self.instances = self._gauge("upstream_instances", "Upstream instances known")
+        self.leaving = self._gauge(
+            "upstreams_leaving", "Instances that take no new work, by source", "source"
+        )
+        self.backing_off = self._gauge(
+            "upstreams_backing_off", "Instances that asked this gateway for a pause"
+        )
         self.warming = self._gauge("upstreams_warming", "Instances in slow start")
         self.evacuated = self._gauge(
             "domains_evacuated", "Failure domains that get no new work"
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -7,6 +7,7 @@
 
 from valeweir.timers import TimerService, get_lease_time
 
+from .backoffs import Backoffs
 from .client_deadlines import Patience
 from .connections import Connections
 from .crashes import Suspects
@@ -93,6 +94,7 @@
         self.newer_view = threading.Event()
         self.usage = UsageWindow(cfg.sharing.window)
         self.shares = Shares(self.usage, cfg.sharing)
+        self.backoffs = Backoffs()
         self.connections = Connections(clock)
         self.endings = Endings(clock, self.connections.keep)
         self.suspects = Suspects()
--- a/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
@@ -41,7 +41,11 @@
     age = state.freshness.get_age(now)
     since = state.catalog_since
     taken = state.taken.get(state.catalog_topic)
+    peers = state.members.get_live(now)
     return {
+        "peers_version": max(
+            (row.report.catalog_version for row in peers), default=None
+        ),
         "catalog_offset": state.catalog_offset,
         "in_force_s": None if since is None else round(now - since, 3),
         "view_age_s": None if age is None else round(age, 3),
@@ -51,11 +55,17 @@
 
 
 def describe_upstream(state, instance_id, now):
-    """Return the fields that tell since when an upstream is believed to be ready."""
+    """Return the fields that tell by what an upstream is believed to take work.
+
+    They are its record and what it answered last, with their ages.
+    """
+    answered = state.loads.get(instance_id, now).answered
+    answer_age = None if answered is None else round(now - answered, 3)
     noted = state.directory.get_noted(instance_id)
     if noted is None:
-        return {"upstream_offset": None}
+        return {"upstream_offset": None, "upstream_answered_s": answer_age}
     return {
+        "upstream_answered_s": answer_age,
         "upstream_offset": noted.offset,
         "upstream_known_s": round(now - noted.at, 3),
     }
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -41,7 +41,14 @@
             self._note_bad("configuration", entry.offset, exc)
             return
         self._note_sound("configuration")
+        in_force = self._state.catalog
         if not self._state.put_catalog(catalog):
+            self._state.log.note(
+                "configuration not newer",
+                version=catalog.version,
+                in_force=in_force.version,
+                offset=entry.offset,
+            )
             return
         self._state.log.note(
             "configuration in force",
@@ -174,6 +181,7 @@
             state.log.note(
                 "upstream ready" if instance.ready else "upstream leaving",
                 upstream=instance.id,
+                source="record",
                 service=instance.service,
                 address=instance.address,
                 offset=entry.offset,
@@ -245,6 +253,7 @@
         state.connections.drop(instance.id)
         state.loads.forget(instance.id)
         state.slow_start.forget(instance.id)
+        state.backoffs.forget(instance.id)
         state.log.note(event, upstream=instance.id, offset=offset)
 
     def _note_bad(self, what, offset, exc):
--- a/packages/valeweir_gateway/src/valeweir_gateway/work.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/work.py
@@ -9,6 +9,7 @@
 
     __slots__ = (
         "active",
+        "answered",
         "call_time",
         "errors",
         "heard",
@@ -27,6 +28,8 @@
         self.active = 0
         self.remote_active = 0
         self.heard = now
+        # When the head of its last answer came, None for never.
+        self.answered = None
         self.errors = 0
         self.pause = FIRST_PAUSE
         self.until = 0.0
