--- a/packages/valeweir_gateway/src/valeweir_gateway/caches.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/caches.py
@@ -78,7 +78,8 @@
         for instance_id in known - self._asked:
             instance = self._state.directory.by_id.get(instance_id)
             service = catalog.services.get(instance.service) if instance else None
-            if service is not None and service.engine is not None:
+            has_cache = service is not None and service.engine is not None
+            if has_cache and self._state.directory.is_ready(instance_id):
                 self._asked.add(instance_id)
                 self._learn(instance)
 
@@ -123,7 +124,10 @@
         return unknown
 
     def ask(self, instance):
-        """Take in what one engine holds; return whether it answered."""
+        """Take in what one engine holds; return whether that is settled."""
+        if self._state.directory.is_leaving(instance.id):
+            # Nothing will be sent there, and a list is a request too.
+            return True
         try:
             parts = self._list_parts(instance.address)
         except PlatformUnavailable as exc:
--- a/packages/valeweir_gateway/src/valeweir_gateway/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/directory.py
@@ -56,6 +56,8 @@
         # Lives that said outside their record that they leave, and from where it is
         # known. A life that leaves never comes back, whatever its record still says.
         self._leaving = {}
+        # Rises when peers should be told of another one.
+        self.leaving_version = 0
         # Records come from the store's readers, answers on the event loop.
         self._lock = threading.Lock()
 
@@ -86,12 +88,15 @@
     def mark_leaving(self, instance_id, source):
         """Note that a life leaves; return whether that is news."""
         with self._lock:
-            instance = self.by_id.get(instance_id)
             if instance_id in self._leaving:
                 return False
             self._leaving[instance_id] = source
+            self.leaving_version += 1
             while len(self._leaving) > _MAX_LEAVING:
                 del self._leaving[next(iter(self._leaving))]
+            instance = self.by_id.get(instance_id)
+            if instance is not None:
+                self._index(instance.service)
             return instance is None or instance.ready
 
     def get_leaving(self):
@@ -127,8 +132,19 @@
     def is_ready(self, instance_id):
         """Return whether the instance is known and takes new requests."""
         instance = self.by_id.get(instance_id)
-        return instance is not None and instance.ready
+        return instance is not None and self._takes_work(instance)
+
+    def is_leaving(self, instance_id):
+        """Return whether the instance has said that it leaves, in whatever way."""
+        instance = self.by_id.get(instance_id)
+        if instance is not None and not instance.ready:
+            return True
+        return instance_id in self._leaving
+
+    def _takes_work(self, instance):
+        return instance.ready and instance.id not in self._leaving
 
     def _index(self, service):
-        rows = [i for i in self.by_id.values() if i.service == service and i.ready]
+        rows = [row for row in self.by_id.values() if row.service == service]
+        rows = [row for row in rows if self._takes_work(row)]
         self._ready[service] = tuple(sorted(rows, key=lambda row: row.id))
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -17,6 +17,7 @@
 from .reporter import Reporter, get_notices, make_own_totals
 from .reports import Role, decode_report, encode_report
 from .sums import Totals
+from .upstream_signals import note_leaving
 
 # Seconds between ticks: in a mesh or with many requests under way, behind relays,
 # and with nothing to report.
@@ -151,6 +152,7 @@
 
     def _take_hints(self, report, now):
         state = self._state
+        self._take_leaving(report)
         news = [
             notice
             for notice in get_notices(report, now)
@@ -163,6 +165,13 @@
                 state.loads.note_digest(part, instance_id, now)
         self._links.forward_reads(report)
 
+    def _take_leaving(self, report):
+        state = self._state
+        for digest in report.leaving:
+            instance_id = state.directory.get_id(digest)
+            if instance_id is not None:
+                note_leaving(state, instance_id, "peer", peer=report.host)
+
     def count_links(self):
         """Return how many gateways this one reports to."""
         return len(self._links)
@@ -192,6 +201,7 @@
             state.usage.version,
             state.freshness.news,
             state.stopping,
+            state.directory.leaving_version,
             len(state.reads),
             len(state.notices),
         )
@@ -289,7 +299,13 @@
         if link.role == Role.DOWN and child is not None:
             totals = everything.without(child)
         state = self._state
-        told = (totals.loads, totals.usage, state.stopping, state.freshness.news)
+        told = (
+            totals.loads,
+            totals.usage,
+            state.stopping,
+            state.freshness.news,
+            state.directory.leaving_version,
+        )
         due = now - link.told_at >= _HEARTBEAT
         hints = link.reads or link.notices
         if not due and not hints and told == link.told:
--- a/packages/valeweir_gateway/src/valeweir_gateway/reporter.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reporter.py
@@ -7,6 +7,9 @@
 from .sums import Totals
 
 _MEMBERS_A_REPORT = 10
+# Their records say so too once the store is back; more than these leave at once only
+# where a whole service does.
+_MAX_LEAVING = 32
 
 
 def get_notices(report, now):
@@ -96,6 +99,7 @@
             quarantine_offset=state.quarantine_offset,
             crashes=[_make_row(row, now) for row in notices if row.crash],
             cleared=[row.fingerprint for row in notices if not row.crash],
+            leaving=self._get_leaving(),
         )
 
     def note_view(self, report):
@@ -108,6 +112,15 @@
         if known and state.directory_offset >= report.directory_offset:
             state.freshness.note_peer(spoken_after - report.store_age)
 
+    def _get_leaving(self):
+        """Return the digests of instances whose records do not say that they leave.
+
+        Every gateway passes on what it knows, so that relays and gateways that start
+        learn it. It is never retracted: a life that leaves does not return.
+        """
+        names = self._state.directory.get_leaving()
+        return [get_digest(name) for name in sorted(names)[:_MAX_LEAVING]]
+
     def _pick_members(self, now):
         members = self._state.members
         live = [members.get(peer.host) for peer in members.get_live(now)]
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -60,7 +60,8 @@
     newest stamp back to it. ``quarantine_offset`` is how far the sender has read the
     quarantine topic. ``crashes`` lists (request's fingerprint, instance digest,
     milliseconds since it was sent there, since the instance ended), and ``cleared``
-    the fingerprints of suspect requests that were answered whole.
+    the fingerprints of suspect requests that were answered whole. ``leaving`` holds
+    digests of instances that said that they leave while their records say ready.
     """
 
     version: int
@@ -87,6 +88,7 @@
     quarantine_offset: int = 0
     crashes: list[tuple[int, int, int, int]] = []
     cleared: list[int] = []
+    leaving: list[int] = []
 
     @property
     def view_offsets(self):
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstream_signals.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstream_signals.py
@@ -80,6 +80,7 @@
     noted = state.directory.get_noted(instance_id)
     if not state.directory.mark_leaving(instance_id, source):
         return
+    state.connections.drop(instance_id)
     state.log.note(
         "upstream leaving",
         upstream=instance_id,
--- /dev/null
+++ b/packages/valeweir_gateway/tests/test_directory.py
@@ -0,0 +1,73 @@
+import unittest
+
+from valeweir_gateway.directory import Directory, Instance, make_life_id
+
+
+def make_instance(name="i", ready=True, born=None, slots=8):
+    life = make_life_id(name, born)
+    return Instance(life, "llm", "10.0.0.1:1", "a", slots, ready, 0.0, name)
+
+
+class DirectoryCase(unittest.TestCase):
+    def setUp(self):
+        self.directory = Directory()
+        self.directory.put(make_instance())
+
+    def get_ready(self):
+        return [row.id for row in self.directory.get_ready("llm")]
+
+
+class TestLeavingLives(DirectoryCase):
+    def test_no_work_goes_there(self):
+        self.assertTrue(self.directory.mark_leaving("i", "answer"))
+        self.assertFalse(self.directory.is_ready("i"))
+        self.assertTrue(self.directory.is_leaving("i"))
+        self.assertEqual(self.get_ready(), [])
+        self.assertEqual(self.directory.get_all_ready(), [])
+
+    def test_it_is_news_once(self):
+        self.assertTrue(self.directory.mark_leaving("i", "peer"))
+        version = self.directory.leaving_version
+        self.assertFalse(self.directory.mark_leaving("i", "answer"))
+        self.assertEqual(self.directory.leaving_version, version)
+        self.assertEqual(self.directory.get_leaving(), {"i": "peer"})
+
+    def test_it_is_no_news_where_the_record_says_so(self):
+        self.directory.put(make_instance(ready=False))
+        self.assertFalse(self.directory.mark_leaving("i", "answer"))
+        self.assertEqual(self.directory.get_leaving(), {})
+
+    def test_a_record_that_says_ready_does_not_bring_it_back(self):
+        self.directory.mark_leaving("i", "answer")
+        self.directory.put(make_instance(slots=9))
+        self.assertFalse(self.directory.is_ready("i"))
+
+    def test_its_record_comes_later(self):
+        self.directory.mark_leaving("j@5", "answer")
+        self.directory.put(make_instance("j", born=5))
+        self.assertFalse(self.directory.is_ready("j@5"))
+
+    def test_a_life_that_is_known_by_its_start_never_returns(self):
+        life = make_instance("j", born=5)
+        self.directory.put(life)
+        self.directory.mark_leaving(life.id, "answer")
+        self.directory.remove(life.id)
+        self.directory.put(life)
+        self.assertFalse(self.directory.is_ready(life.id))
+
+    def test_another_life_is_used(self):
+        self.directory.put(make_instance("j", born=5))
+        self.directory.mark_leaving("j@5", "answer")
+        self.directory.put(make_instance("j", born=6))
+        self.assertTrue(self.directory.is_ready("j@6"))
+
+    def test_where_starts_are_not_told_the_end_of_the_record_ends_it(self):
+        self.directory.mark_leaving("i", "answer")
+        self.directory.remove("i")
+        self.directory.put(make_instance())
+        self.assertTrue(self.directory.is_ready("i"))
+
+    def test_lives_kept_are_bounded(self):
+        for number in range(3_000):
+            self.directory.mark_leaving(f"gone-{number}", "answer")
+        self.assertLessEqual(len(self.directory._leaving), 1_000)
