--- a/packages/valeweir_standins/src/valeweir_standins/wires.py
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -4,6 +4,8 @@
 import threading
 from types import SimpleNamespace
 
+from valeweir_gateway.backoffs import Backoffs
+from valeweir_gateway.connections import Connections
 from valeweir_gateway.crashes import Suspects
 from valeweir_gateway.directory import Directory
 from valeweir_gateway.fleet import Fleet
@@ -97,7 +99,9 @@
             upstreams=Upstreams(),
         ),
         clock=clock,
+        backoffs=Backoffs(),
         catalog=None,
+        connections=Connections(clock),
         directory=Directory(),
         directory_offset=0,
         catalog_offset=0,
