--- a/packages/valeweir_gateway/src/valeweir_gateway/adapters.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/adapters.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from valeweir.exceptions import PlatformUnavailable
+
 from .headers import HeaderNames
 from .stores import Store
 
@@ -11,6 +13,15 @@
     """A record of the store that cannot be decoded."""
 
 
+class ListRefused(PlatformUnavailable):
+    """An engine does not list its cache now; ``retry_after`` is its header or None."""
+
+    def __init__(self, address, status, retry_after):
+        super().__init__(f"{address} answered {status}")
+        self.status = status
+        self.retry_after = retry_after
+
+
 class Adapter(NamedTuple):
     """Translations between a platform and the gateway.
 
@@ -19,7 +30,7 @@
     `directory.Instance`. Both raise `BadRecord`. ``find_evacuated`` takes a key of
     the catalog topic and returns the failure domain whose evacuation that record
     asks for, or None. ``list_parts`` takes the address of an engine and returns the
-    ids of the prompt parts it keeps.
+    ids of the prompt parts it keeps; it raises `ListRefused`, or `PlatformUnavailable`.
     """
 
     names: HeaderNames
--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -132,7 +132,8 @@
     if isinstance(body, Failure):
         return body
     _note_answered(state, choice, work)
-    if head.status >= _SERVER_ERROR and _may_answer_differently(state, job):
+    may_differ = _may_answer_differently(state, job, choice.instance)
+    if head.status >= _SERVER_ERROR and may_differ:
         return Failure(Fault.AMBIGUOUS, "server error", head.status)
     _send_answer(job, head, body)
     return None
@@ -153,17 +154,22 @@
     return Failure(Fault.REJECTED, f"rejected with {head.status}", head.status)
 
 
-def _may_answer_differently(state, job):
+def _may_answer_differently(state, job, instance):
     """Return whether a failed safe request is worth another upstream."""
     if job.route.kind is not RouteKind.SAFE or job.sends >= job.route.max_attempts:
         return False
     if job.deadline - state.clock() < job.route.goal / 4:
         return False
-    return _has_alternative(state, job)
+    return _has_alternative(state, job, instance)
 
 
-def _has_alternative(state, job):
-    return len(state.directory.get_ready(job.service)) > len(job.excluded) + 1
+def _has_alternative(state, job, instance):
+    now = state.clock()
+    tried = job.excluded | {instance.id}
+    return any(
+        row.id not in tried and not state.backoffs.is_active(row.id, now)
+        for row in state.directory.get_ready(job.service)
+    )
 
 
 def _get_attempt_end(state, job):
--- a/packages/valeweir_gateway/src/valeweir_gateway/caches.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/caches.py
@@ -13,7 +13,9 @@
 import urllib3
 from valeweir.exceptions import PlatformUnavailable
 
+from .adapters import ListRefused
 from .reports import get_digest
+from .upstream_signals import add_backoff, parse_retry_after
 
 CACHES_PATH = "/fleet/caches"
 _RETRY_INTERVAL_S = 0.5
@@ -128,8 +130,13 @@
         if self._state.directory.is_leaving(instance.id):
             # Nothing will be sent there, and a list is a request too.
             return True
+        if self._state.backoffs.is_active(instance.id, self._state.clock()):
+            return False
         try:
             parts = self._list_parts(instance.address)
+        except ListRefused as exc:
+            self._note_refused(instance, exc)
+            return False
         except PlatformUnavailable as exc:
             self._state.log.note(
                 "cache not listed", failed=True, upstream=instance.id, why=str(exc)
@@ -140,6 +147,14 @@
         self._state.log.note("cache listed", upstream=instance.id, parts=len(parts))
         return True
 
+    def _note_refused(self, instance, exc):
+        seconds = parse_retry_after(exc.retry_after or "")
+        self._state.log.note(
+            "cache not listed", failed=True, upstream=instance.id, why=str(exc)
+        )
+        if seconds:
+            add_backoff(self._state, instance.id, seconds, status=exc.status)
+
     def learn_all(self, instances, wait):
         """Learn what some engines hold, from a peer or from them.
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
@@ -21,6 +21,9 @@
         return Refusal(503, "evacuated", retry_after=BUSY_RETRY, inputs=inputs)
     if job.excluded:
         ready = [row for row in ready if row.id not in job.excluded]
+    paused, ready = ready, _keep_open(state, ready, now)
+    if paused and not ready:
+        return _refuse_paused(state, paused, now)
     rows = _keep_warm(state, job, _keep_usable(state, ready, now), now)
     if not rows and not ready:
         return Refusal(503, "no-upstream", retry_after=BUSY_RETRY)
@@ -41,6 +44,8 @@
         return "leaving"
     if instance.zone in state.evacuations.domains:
         return "evacuated"
+    if not _is_open(state, instance, now):
+        return "backoff"
     if job.permit == instance.id or not _needs_permit(state, job, instance, now):
         return None
     if state.slow_start.take(instance.id, _get_rate(job), now):
@@ -48,6 +53,18 @@
     return "warming"
 
 
+def find_return(state, job, now):
+    """Return the seconds until a pause ends where all that may serve asked for one.
+
+    None where some instance takes work now, or none is there.
+    """
+    rows = _keep_permitted(state, job, state.directory.get_ready(job.service))
+    rows = _drop_evacuated(state, rows)
+    if not rows or _keep_open(state, rows, now):
+        return None
+    return state.backoffs.compute_return([row.id for row in rows], now, state.rng)
+
+
 def take_permit(state, job, instance, now):
     """Use up the permit that the choice of a warming instance rests on."""
     if not _needs_permit(state, job, instance, now):
@@ -79,6 +96,18 @@
     return [row for row in rows if row.zone not in evacuated]
 
 
+def _is_open(state, instance, now):
+    """Return whether the instance asked for no pause that still keeps sends away."""
+    running = state.loads.get(instance.id, now).active
+    return state.backoffs.may_send(instance.id, running, now)
+
+
+def _keep_open(state, rows, now):
+    if not state.backoffs:
+        return rows
+    return [row for row in rows if _is_open(state, row, now)]
+
+
 def _keep_usable(state, ready, now):
     usable = state.loads.pick_usable(ready, now)
     cut = state.domains.get_cut(state.members.get_silent_domains(now), now)
@@ -110,6 +139,19 @@
     return service.warm_rate if service is not None else 0.0
 
 
+def _refuse_paused(state, rows, now):
+    """Return the `Refusal` where all that could serve asked for a pause.
+
+    The time to come back is not cut to what is left of the request's own: sooner would
+    only be refused again.
+    """
+    ids = [row.id for row in rows]
+    ends = [state.backoffs.get_end(instance_id) for instance_id in ids]
+    inputs = {"backing_off": len(ids), "first_end_s": round(min(ends) - now, 3)}
+    wait = state.backoffs.compute_return(ids, now, state.rng)
+    return Refusal(503, "upstreams-backing-off", retry_after=wait, inputs=inputs)
+
+
 def _refuse_warming(state, job, rows, now):
     """Return the `Refusal` where all that could serve are warming up."""
     ends = [state.slow_start.get_end(row.id) for row in rows]
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -4,7 +4,7 @@
 
 from . import admission
 from .attempts import attempt
-from .candidates import find_candidates, take_permit
+from .candidates import find_candidates, find_return, take_permit
 from .checking import check
 from .crash_attribution import check_quarantine, is_held, refuse_held
 from .exchanges import Fault
@@ -126,9 +126,18 @@
             connects += 1
             if connects < _MAX_CONNECTS:
                 continue
-            return explain(state, job, failure)
+            return _explain(state, job, failure)
         if not may_repeat(state, job, failure):
-            return explain(state, job, failure)
+            return _explain(state, job, failure)
+
+
+def _explain(state, job, failure):
+    """Return the `Refusal` after a failed send, with a true time to come back."""
+    refusal = explain(state, job, failure)
+    if refusal.retry_after is None:
+        return refusal
+    wait = find_return(state, job, state.clock())
+    return refusal if wait is None else refusal._replace(retry_after=wait)
 
 
 def _place(state, job, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -100,7 +100,7 @@
     if failure.status == MISDIRECTED:
         state.loads.note_replaced(instance_id, now)
         state.connections.drop(instance_id)
-    elif failure.fault in (Fault.GONE, Fault.LATE, Fault.REJECTED):
+    elif _tells_nothing(state, instance_id, failure, now):
         state.loads.note_released(instance_id, now)
     else:
         severe = failure.fault is Fault.NOT_SENT
@@ -127,6 +127,17 @@
     )
 
 
+def _tells_nothing(state, instance_id, failure, now):
+    """Return whether a failure says nothing about the condition of its upstream.
+
+    To shed load and ask for a pause is no fault, with or without a promise that the
+    request has not run.
+    """
+    if failure.fault in (Fault.GONE, Fault.LATE, Fault.REJECTED):
+        return True
+    return failure.status > 0 and state.backoffs.is_active(instance_id, now)
+
+
 def note_sending(state, job, instance_id, now):
     """Remember what this gateway believes as it sends, for the line at the end."""
     job.out_at = None
--- a/packages/valeweir_gateway/tests/test_candidates.py
+++ b/packages/valeweir_gateway/tests/test_candidates.py
@@ -2,8 +2,11 @@
 import unittest
 from types import SimpleNamespace
 
+from valeweir_gateway.backoffs import Backoffs
 from valeweir_gateway.candidates import (
     find_candidates,
+    find_obstacle,
+    find_return,
     get_allowed_regions,
     may_receive,
     take_permit,
@@ -45,6 +48,8 @@
             cfg=SimpleNamespace(regions=REGIONS),
             directory=Directory(),
             evacuations=Evacuations(),
+            backoffs=Backoffs(),
+            rng=random.Random(2),
             slow_start=SlowStart(random.Random(1), lambda: 1, Bound(1.5, 5.0)),
             loads=Loads(),
             domains=Domains("a"),
@@ -192,3 +197,53 @@
         self.warm_up("b")
         self.job.catalog.services["llm"] = Service("llm", 8, None)
         self.assertEqual(self.find(), set(REGIONS))
+
+
+class TestPaused(CandidateCase):
+    PAUSE = 3.0
+
+    def pause(self, *zones):
+        for zone in zones:
+            self.state.backoffs.add(f"i-{zone}", self.PAUSE, NOW)
+
+    def test_they_are_left_out(self):
+        self.pause("a")
+        self.assertEqual(self.find(), {"b", "c"})
+        self.assertIsNone(find_return(self.state, self.job, NOW))
+
+    def test_one_chosen_before_gets_nothing_after(self):
+        self.pause("a")
+        obstacle = find_obstacle(self.state, self.job, self.get("a"), NOW + 2.9)
+        self.assertEqual(obstacle, "backoff")
+
+    def test_not_even_as_the_last_resort(self):
+        self.pause("a", "b", "c")
+        self.assertEqual(self.find().code, "upstreams-backing-off")
+
+    def test_the_others_were_tried(self):
+        self.pause("a")
+        self.job.excluded = {"i-b", "i-c"}
+        self.assertEqual(self.find().code, "upstreams-backing-off")
+
+    def test_all_tell_the_first_end_and_no_one_moment(self):
+        self.pause("a", "b", "c")
+        self.state.backoffs.add("i-b", 5.0, NOW)
+        waits = {self.find(now=NOW + 1.0).retry_after for _ in range(50)}
+        self.assertGreaterEqual(min(waits), self.PAUSE - 1.0)
+        self.assertLess(max(waits), self.PAUSE)
+        self.assertGreater(len(waits), 40)
+        wait = find_return(self.state, self.job, NOW + 1.0)
+        self.assertGreaterEqual(wait, self.PAUSE - 1.0)
+
+    def test_those_in_other_regions_do_not_count(self):
+        self.pause("a", "b")
+        job = self.make_job(route_regions=["north"])
+        self.assertEqual(self.find(job).code, "upstreams-backing-off")
+
+    def test_few_at_a_time_once_it_is_over(self):
+        self.pause("a", "b", "c")
+        now = NOW + self.PAUSE
+        self.assertEqual(self.find(now=now), {"a", "b", "c"})
+        self.state.loads.start("i-a", 0, now)
+        self.assertEqual(self.find(now=now), {"b", "c"})
+        self.assertEqual(self.find(now=now + 0.3), {"a", "b", "c"})
