--- a/packages/valeweir_gateway/src/valeweir_gateway/checking.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/checking.py
@@ -4,6 +4,7 @@
 from .prompts import parse_prompt
 from .refusals import Refusal
 from .store_readers import get_longest_age
+from .view_source import get_version
 
 ANSWER_MARGIN = 0.03
 _UNREADY_RETRY = 0.5
@@ -56,8 +57,10 @@
     added since this gateway last heard of changes. It reads them meanwhile, so this
     costs no call of the store, however many such requests come.
     """
-    age = state.freshness.get_age(state.clock())
-    if age is not None and age <= get_longest_age(state.cfg):
+    now = state.clock()
+    age = state.freshness.get_age(now)
+    is_young = age is not None and age <= get_longest_age(state.cfg)
+    if is_young and not _is_passed_by(state, now):
         return denial
     return Refusal(
         503,
@@ -67,6 +70,13 @@
     )
 
 
+def _is_passed_by(state, now):
+    """Return whether a peer works by a newer configuration."""
+    version = get_version(state)
+    peers = state.members.get_live(now)
+    return any(peer.report.catalog_version > version for peer in peers)
+
+
 def _note_own_headers(state, job):
     """Count and log headers that the client may not set; they are not sent on."""
     found = [name.lower() for name in job.request.headers]
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import operator
 import random
 import socket
 import time
@@ -18,6 +17,7 @@
 from .reports import Role, decode_report, encode_report
 from .sums import Totals
 from .upstream_signals import note_leaving
+from .view_source import is_newer
 
 # Seconds between ticks: in a mesh or with many requests under way, behind relays,
 # and with nothing to report.
@@ -124,7 +124,7 @@
         if state.members.note(report, address, now) is None:
             return
         self._received += 1
-        if any(map(operator.gt, report.view_offsets, state.view_offsets)):
+        if is_newer(report, state):
             state.newer_view.set()
         for row in report.members:
             state.members.add(Member(*row))
--- a/packages/valeweir_gateway/src/valeweir_gateway/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/follower.py
@@ -6,13 +6,16 @@
 from valeweir.exceptions import PlatformUnavailable
 
 from .stores import HistoryExpired, Unanswered
-from .topics import TopicRecords
+from .topics import TopicRecords, restore_highest
 from .view_source import STORE, Taken
 
 _FIRST_PAUSE = 0.1
 _MAX_PAUSE = 1.0
 _IDLE_CHECK_S = 0.15
 _SERIES_PAUSE = 0.2
+# Records before the newest one of a ranked key in which a higher one may stand: many
+# more than are written while a lost answer is waited for.
+_HISTORY_RECORDS = 64
 # Characters of a key on a line of the log.
 _MAX_KEY = 120
 # Seconds beyond a call's own wait after which the store counts as having been
@@ -63,6 +66,8 @@
         Returns whether the topic need not be read any more.
     on_taken : callable
         Called with the topic and the `view_source.Taken` of each listing or batch.
+    rank : callable
+        As for `topics.TopicRecords`.
     """
 
     def __init__(
@@ -81,10 +86,12 @@
         get_stalled=lambda: 0.0,
         wait_wanted=lambda stopped: stopped.wait(_IDLE_CHECK_S),
         is_done=lambda: False,
+        rank=lambda entry: None,
     ):
         self._store = store
         self._topic = topic
-        self._records = TopicRecords(apply, self._note_unapplied)
+        self._rank = rank
+        self._records = TopicRecords(apply, self._note_unapplied, rank)
         self._on_listed = on_listed
         self._log = log
         self._poll = poll
@@ -234,7 +241,7 @@
 
     def _list(self):
         asked = self._begin_call(0.0)
-        listing = self._store.list_newest(self._topic)
+        listing = self._get_listing()
         self._note_answer(asked)
         self._take(self._records.take_listing, listing, STORE, True)
         self._next = listing.end
@@ -260,7 +267,7 @@
         try:
             batch = self._store.read(self._topic, self.end, asked.wait, anew=True)
         except HistoryExpired:
-            listing = self._store.list_newest(self._topic, anew=True)
+            listing = self._get_listing(anew=True)
             self._note_answer(asked)
             self._take(self._records.take_listing, listing, STORE, True)
         else:
@@ -268,6 +275,33 @@
             self._take(self._records.take_batch, batch, STORE, False)
         self._note_heard(asked.at)
 
+    def _get_listing(self, anew=False):
+        """List the topic, with ranked keys as high as its history knows them."""
+        listing = self._store.list_newest(self._topic, anew)
+        ranked = [row for row in listing.entries if self._rank(row) is not None]
+        history = []
+        for entry in ranked:
+            history += self._read_history(entry.offset, anew)
+        return restore_highest(listing, history, self._rank)
+
+    def _read_history(self, end, anew):
+        """Return the last records before an offset, as far as they are kept."""
+        rows = []
+        start = max(0, end - _HISTORY_RECORDS)
+        while start < end:
+            try:
+                batch = self._store.read(self._topic, start, 0.0, anew)
+            except HistoryExpired as exc:
+                if exc.first is None or exc.first <= start:
+                    break
+                start = exc.first
+                continue
+            rows += batch.entries
+            if batch.end <= start:
+                break
+            start = batch.end
+        return rows
+
     def _begin_call(self, wait):
         self._asked = self._make_asked(wait)
         self._is_calling = True
--- a/packages/valeweir_gateway/src/valeweir_gateway/following.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/following.py
@@ -37,6 +37,7 @@
         on_regained=state.lapses.note_regained,
         wait_wanted=duty.wait_reading,
         is_done=lambda: False,
+        rank=lambda entry: None,
     ):
         return TopicFollower(
             adapter.store,
@@ -53,6 +54,7 @@
             state.stalls.get_total,
             wait_wanted,
             is_done,
+            rank,
         )
 
     def note_members(offset):
@@ -60,7 +62,12 @@
         duty.note_members_read()
 
     return Followers(
-        follow(adapter.catalog_topic, keeper.apply_catalog, keeper.note_catalog),
+        follow(
+            adapter.catalog_topic,
+            keeper.apply_catalog,
+            keeper.note_catalog,
+            rank=keeper.rank_catalog,
+        ),
         follow(adapter.instance_topic, keeper.apply_instance, keeper.note_directory),
         follow(
             adapter.quarantine_topic,
--- a/packages/valeweir_gateway/src/valeweir_gateway/reporter.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reporter.py
@@ -5,6 +5,7 @@
 from .freshness import Stamps, make_echo
 from .reports import VERSION, Report, get_digest
 from .sums import Totals
+from .view_source import get_version
 
 _MEMBERS_A_REPORT = 10
 # Their records say so too once the store is back; more than these leave at once only
@@ -82,7 +83,7 @@
             self._number,
             self._seq,
             role,
-            state.catalog.version if state.catalog else 0,
+            get_version(state),
             state.directory_offset,
             -1.0 if age is None else age,
             state.stopping,
@@ -108,7 +109,8 @@
         spoken_after = self._stamps.get_time(report.echo)
         if spoken_after is None or report.store_age < 0.0:
             return
-        known = state.catalog_offset >= report.catalog_offset
+        known = get_version(state) >= report.catalog_version
+        known = known and state.catalog_offset >= report.catalog_offset
         if known and state.directory_offset >= report.directory_offset:
             state.freshness.note_peer(spoken_after - report.store_age)
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -6,7 +6,14 @@
 
 
 class HistoryExpired(PlatformUnavailable):
-    """Records after the offset asked for are gone; list anew."""
+    """Records after the offset asked for are gone; list anew.
+
+    ``first`` is the first offset that is kept, None where that is not said.
+    """
+
+    def __init__(self, text, first=None):
+        super().__init__(text)
+        self.first = first
 
 
 class Unanswered(PlatformUnavailable):
--- a/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/syncing.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from .topics import Batch, Entry, Listing
+from .view_source import get_version
 
 VIEW_PATH = "/fleet/view"
 # At most; a report of a newer view is looked at as it comes.
@@ -118,10 +119,10 @@
 
     def find_newer(self, now):
         """Return the live peer with the newest view if it is newer, or None."""
-        own = self._get_own_offsets()
+        own = (get_version(self._state), *self._get_own_offsets())
         best = None
         for peer in self._state.members.get_live(now):
-            theirs = peer.report.view_offsets
+            theirs = (peer.report.catalog_version, *peer.report.view_offsets)
             newer = any(map(operator.gt, theirs, own))
             if newer and (best is None or theirs > best[0]):
                 best = (theirs, peer)
@@ -141,7 +142,7 @@
         host = peer.address.rpartition(":")[0]
         url = f"http://{host}:{self._port}{VIEW_PATH}"
         since = {
-            "catalog": self._catalog.end,
+            "catalog": self._get_catalog_start(peer.report),
             "instances": self._instances.end,
             "quarantine": self._quarantine.end,
         }
@@ -159,6 +160,14 @@
         self.adopt(view, peer.host, asked)
         return True
 
+    def _get_catalog_start(self, report):
+        """Return from which offset on to ask for configurations, 0 for all.
+
+        A newer one that stands before our own end is in no batch of what came since.
+        """
+        is_passed_by = report.catalog_version > get_version(self._state)
+        return 0 if is_passed_by else self._catalog.end
+
     def adopt(self, view, source, asked):
         """Take in the `View` of the peer ``source`` that was asked for at a time."""
         if view.regained_age >= 0.0:
--- a/packages/valeweir_gateway/src/valeweir_gateway/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/topics.py
@@ -32,6 +32,35 @@
     end: int
 
 
+def restore_highest(listing, history, rank):
+    """Return a `Listing` in which no ranked key has fallen behind its own history.
+
+    A write whose answer was lost may take effect late, behind newer ones, and is then
+    the newest record of its key.
+
+    Parameters
+    ----------
+    history : list of Entry
+        Records that came before, of any keys.
+    rank : callable
+        As for `TopicRecords`.
+    """
+    entries = []
+    for entry in listing.entries:
+        best = entry
+        for earlier in history:
+            if earlier.key == entry.key and _outranks(rank, earlier, best):
+                best = earlier
+        entries.append(best._replace(offset=entry.offset))
+    return listing._replace(entries=entries)
+
+
+def _outranks(rank, entry, other):
+    """Return whether a record ranks higher; offsets do not count."""
+    first, second = rank(entry), rank(other)
+    return first is not None and second is not None and first > second
+
+
 class TopicRecords:
     """The newest record of each key, whole up to `end`.
 
@@ -44,10 +73,16 @@
         Called with each `Entry` that is newer than what was known of its key.
     on_fault : callable
         Called with an `Entry` and the exception that applying it raised.
+    rank : callable
+        Called with an `Entry`; returns what decides between two records of a key, the
+        higher one being in force wherever it stands, or None where the newest is.
     """
 
-    def __init__(self, apply, on_fault=lambda entry, exc: None):
+    def __init__(
+        self, apply, on_fault=lambda entry, exc: None, rank=lambda entry: None
+    ):
         self._apply = apply
+        self._rank = rank
         self._on_fault = on_fault
         self._entries = {}
         # What could not be applied yet, by key.
@@ -82,6 +117,8 @@
     def take_listing(self, listing):
         """Take in a listing; one that is older than what is known changes nothing."""
         if listing.end < self.end:
+            for entry in listing.entries:
+                self._take_if_higher(entry)
             return
         named = {entry.key for entry in listing.entries}
         for entry in listing.entries:
@@ -107,13 +144,38 @@
 
     def _take(self, entry):
         known = self._entries.get(entry.key)
-        if known is not None and entry.offset <= known.offset:
+        if known is not None and _outranks(self._rank, known, entry):
+            self._take_outranked(entry, known)
+            return
+        if known is not None and _outranks(self._rank, entry, known):
+            entry = entry._replace(offset=max(entry.offset, known.offset))
+        elif known is not None and entry.offset <= known.offset:
             return
         self._entries[entry.key] = entry
         if entry.value is None:
             self._note_removed(entry)
         self._try_to_apply(entry)
 
+    def _take_if_higher(self, entry):
+        known = self._entries.get(entry.key)
+        if known is not None and _outranks(self._rank, entry, known):
+            self._take(entry)
+
+    def _take_outranked(self, entry, known):
+        """Keep the record in force, as of the newer offset.
+
+        Peers that know less are then given it with all that came before that offset.
+        """
+        if entry.offset <= known.offset:
+            return
+        moved = known._replace(offset=entry.offset)
+        self._entries[entry.key] = moved
+        if self._unapplied.get(entry.key) is known:
+            self._unapplied[entry.key] = moved
+        else:
+            # It tells what it does not change.
+            self._try_to_apply(entry)
+
     def _try_to_apply(self, entry):
         """Apply a record, or keep it for later.
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
@@ -1,5 +1,6 @@
 """Where this gateway's view of the store comes from, for the lines of its log."""
 
+import operator
 from typing import NamedTuple
 
 STORE = "store"
@@ -20,6 +21,22 @@
     at: float
 
 
+def is_newer(report, state):
+    """Return whether a peer's report shows a view that knows more than ours.
+
+    Offsets tell how far both have read; what that brought may differ, where one took
+    its view from records that are no longer all there.
+    """
+    if report.catalog_version > get_version(state):
+        return True
+    return any(map(operator.gt, report.view_offsets, state.view_offsets))
+
+
+def get_version(state):
+    """Return the version of the configuration in force, 0 for none."""
+    return state.catalog.version if state.catalog else 0
+
+
 def describe_view(state, now):
     """Return the fields that tell how old the view of the instances is, and why."""
     age = state.freshness.get_age(now)
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -13,6 +13,8 @@
 # may write there.
 _MAX_BAD = 1_000
 _MAX_TEXT = 120
+# The rank of a configuration that cannot be decoded.
+_UNREADABLE = -1
 
 
 class ViewKeeper:
@@ -21,6 +23,8 @@
     def __init__(self, state, adapter):
         self._state = state
         self._adapter = adapter
+        # Bytes and `catalog.Catalog` of the configuration decoded last.
+        self._decoded = (None, None)
         # Keys whose newest record cannot be used.
         self._bad = set()
         # The id of the life that a key of the instances topic stands for.
@@ -36,7 +40,7 @@
         if entry.key != self._adapter.catalog_key or entry.value is None:
             return
         try:
-            catalog = self._adapter.decode_catalog(entry.value)
+            catalog = self._decode_catalog(entry.value)
         except BadRecord as exc:
             self._note_bad("configuration", entry.offset, exc)
             return
@@ -58,6 +62,28 @@
             accounts=len(catalog.accounts),
         )
 
+    def rank_catalog(self, entry):
+        """Return the version that decides between configurations, None for other keys.
+
+        One that cannot be decoded ranks below all that can.
+        """
+        if entry.key != self._adapter.catalog_key:
+            return None
+        if entry.value is None:
+            return _UNREADABLE
+        try:
+            return self._decode_catalog(entry.value).version
+        except BadRecord:
+            return _UNREADABLE
+
+    def _decode_catalog(self, value):
+        """Decode a configuration; the last one, asked for several times, is kept."""
+        known, catalog = self._decoded
+        if known != value:
+            catalog = self._adapter.decode_catalog(value)
+            self._decoded = (value, catalog)
+        return catalog
+
     def note_catalog(self, offset):
         """Note that the configuration topic is known up to ``offset``."""
         self._state.catalog_offset = offset
--- a/packages/valeweir_gateway/tests/test_checking.py
+++ b/packages/valeweir_gateway/tests/test_checking.py
@@ -20,6 +20,7 @@
 from valeweir_gateway.checking import check
 from valeweir_gateway.jobs import Job
 from valeweir_gateway.members import Member
+from valeweir_gateway.reports import VERSION, Report, Role
 from valeweir_gateway.requests import Headers, Request
 from viewing import Clock, make_state
 
@@ -67,5 +68,11 @@
         self.state.catalog_known = True
         self.assertEqual(self.get_status("/new/x", "key", 100.0), 503)
 
+    def test_where_a_peer_works_by_a_newer_version_nobody_is_denied(self):
+        report = Report(VERSION, "h1", "a", 1, 1, Role.UP, catalog_version=2)
+        self.state.members.note(report, "10.0.0.2:4", 101.0)
+        self.assertEqual(self.get_status("/new/x", "key", 101.3), 503)
+        self.assertIsNone(self.get_status("/known/x", "key", 101.3))
+
     def test_what_is_known_is_served_on(self):
         self.assertIsNone(self.get_status("/known/x", "key", 130.0))
--- a/packages/valeweir_gateway/tests/test_follower.py
+++ b/packages/valeweir_gateway/tests/test_follower.py
@@ -118,6 +118,61 @@
         self.assertEqual(self.get_applied(), [("a", b"1"), ("a", None), ("a", b"2")])
 
 
+# Guards against a start by an older version that stands behind a newer one.
+class TestHistory(FollowerCase):
+    """A ranked key is looked up in the records before its newest one."""
+
+    def list(self, *results):
+        self.applied = []
+        self.store = ScriptedStore(*results)
+        self.follower = TopicFollower(
+            self.store,
+            "t",
+            self.applied.append,
+            lambda end: None,
+            SilentLog(),
+            lambda: 1.0,
+            lambda: 7.0,
+            rank=lambda entry: int(entry.value) if entry.key == "c" else None,
+        )
+        return self.follower.follow_once()
+
+    def test_the_highest_one_is_applied_and_no_other(self):
+        listing = Listing([Entry("c", b"5", 3)], 4)
+        history = Batch([Entry("c", b"9", 1), Entry("c", b"11", 2)], 4)
+        self.assertTrue(self.list(listing, history))
+        self.assertEqual(self.get_applied(), [("c", b"11")])
+        self.assertEqual(self.store.reads, [0])
+
+    def test_part_of_the_history_is_gone(self):
+        listing = Listing([Entry("c", b"5", 90)], 91)
+        history = Batch([Entry("c", b"11", 89), Entry("c", b"5", 90)], 91)
+        self.assertTrue(self.list(listing, HistoryExpired("t", 88), history))
+        self.assertEqual(self.get_applied(), [("c", b"11")])
+        self.assertEqual(self.store.reads, [26, 88])
+
+    def test_all_of_it_is_gone(self):
+        listing = Listing([Entry("c", b"5", 90)], 91)
+        for expired in (HistoryExpired("t", 91), HistoryExpired("t")):
+            self.assertTrue(self.list(listing, expired))
+            self.assertEqual(self.get_applied(), [("c", b"5")])
+
+    def test_it_is_read_in_pages(self):
+        listing = Listing([Entry("c", b"5", 3)], 4)
+        pages = [Batch([Entry("c", b"9", 1)], 2), Batch([Entry("c", b"11", 2)], 4)]
+        self.assertTrue(self.list(listing, *pages))
+        self.assertEqual(self.get_applied(), [("c", b"11")])
+
+    def test_a_store_that_gives_nothing_on(self):
+        listing = Listing([Entry("c", b"5", 3)], 4)
+        self.assertTrue(self.list(listing, Batch([], 0)))
+        self.assertEqual(self.get_applied(), [("c", b"5")])
+
+    def test_other_keys_cost_no_call(self):
+        self.assertTrue(self.list(Listing([Entry("a", b"5", 3)], 4)))
+        self.assertEqual(self.store.reads, [])
+
+
 class TestFaultsOfApplying(FollowerCase):
     """A record is never passed over because applying it failed once.
 
