--- a/packages/valeweir_gateway/src/valeweir_gateway/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/directory.py
@@ -16,6 +16,7 @@
     and its place in reports go by it, and so end with the life. ``announced_as`` is the
     id in its records, which a later life may have too; empty where both are the same.
     ``warming`` is how much longer it warms up, in seconds, as of its record.
+    ``sequence`` rises with the records that a life writes.
     """
 
     id: str
@@ -26,6 +27,7 @@
     ready: bool
     warming: float = 0.0
     announced_as: str = ""
+    sequence: int = 0
 
     @property
     def announced_id(self):
@@ -38,6 +40,16 @@
     return announced_id if born is None else f"{announced_id}@{born}"
 
 
+def is_repeated(instance, known):
+    """Return whether a record that says ready is older than one that says leaving.
+
+    A write whose answer was lost may take effect late, behind a newer record.
+    """
+    is_same_life = instance.id == known.id
+    returns = instance.ready and not known.ready
+    return is_same_life and returns and instance.sequence < known.sequence
+
+
 class Noted(NamedTuple):
     """The record that an instance is known by, and when it came (steady clock)."""
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/views.py
@@ -4,7 +4,7 @@
 
 from . import crash_attribution
 from .adapters import BadRecord
-from .directory import Noted
+from .directory import Noted, is_repeated
 from .fingerprints import parse_fingerprint
 from .members import parse_member
 from .quarantine import decode_record
@@ -187,6 +187,15 @@
             return
         self._note_sound(entry.key)
         earlier = self._find(entry.key)
+        if earlier is not None and is_repeated(instance, earlier):
+            state.log.note(
+                "older record ignored",
+                upstream=instance.id,
+                offset=entry.offset,
+                sequence=instance.sequence,
+                known_sequence=earlier.sequence,
+            )
+            return
         if earlier is not None and earlier.id != instance.id:
             # It holds and knows nothing of before.
             state.lapses.release(earlier.id)
@@ -194,7 +203,7 @@
         self._lives[entry.key] = instance.id
         old = state.directory.by_id.get(instance.id)
         held = state.lapses.release(instance.id)
-        if old == instance and not held:
+        if _is_unchanged(old, instance) and not held:
             return
         # Before any request can be sent there.
         now = state.clock()
@@ -301,3 +310,8 @@
         if what in self._bad:
             self._bad.discard(what)
             self._state.bad_keys = len(self._bad)
+
+
+def _is_unchanged(old, instance):
+    """Return whether a record says nothing new but that its upstream lives."""
+    return old is not None and old._replace(sequence=instance.sequence) == instance
