--- a/packages/valeweir_gateway/src/valeweir_gateway/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/follower.py
@@ -261,7 +261,8 @@
         self._next = batch.end
         # The store answers without a record only once it has waited for one.
         waited = 0.0 if batch.entries else asked.wait
-        self._note_heard(min(asked.at + waited, self._clock()))
+        if batch.is_whole:
+            self._note_heard(min(asked.at + waited, self._clock()))
 
     def _read_anew(self, asked):
         try:
@@ -273,6 +274,8 @@
         else:
             self._note_answer(asked)
             self._take(self._records.take_batch, batch, STORE, False)
+            if not batch.is_whole:
+                return
         self._note_heard(asked.at)
 
     def _get_listing(self, anew=False):
--- a/packages/valeweir_gateway/src/valeweir_gateway/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/topics.py
@@ -26,10 +26,14 @@
 
 
 class Batch(NamedTuple):
-    """Records read in order; ``end`` is the offset to go on from."""
+    """Records read in order; ``end`` is the offset to go on from.
+
+    ``is_whole`` tells whether the topic ended there when it was read.
+    """
 
     entries: list[Entry]
     end: int
+    is_whole: bool = True
 
 
 def restore_highest(listing, history, rank):
--- a/packages/valeweir_gateway/tests/test_follower.py
+++ b/packages/valeweir_gateway/tests/test_follower.py
@@ -173,6 +173,39 @@
         self.assertEqual(self.store.reads, [])
 
 
+# Guards against a view that looks young while the topic goes on behind what was read.
+class TestPartOfATopic(FollowerCase):
+    def setUp(self):
+        self.heard = []
+        self.store = ScriptedStore()
+        self.follower = TopicFollower(
+            self.store,
+            "t",
+            lambda entry: None,
+            lambda end: None,
+            SilentLog(),
+            lambda: 1.0,
+            lambda: 7.0,
+            on_heard=lambda topic, as_of: self.heard.append(as_of),
+        )
+        self.store.results = [Listing([], 0)]
+        self.follower.follow_once()
+        self.heard.clear()
+
+    def test_it_makes_nothing_younger(self):
+        part = Batch([Entry("a", b"1", 0)], 1, is_whole=False)
+        self.store.results = [part, part._replace(end=2)]
+        self.follower.follow_once()
+        self.follower.refresh()
+        self.assertEqual(self.heard, [])
+        self.assertEqual(self.follower.end, 2)
+
+    def test_the_rest_does(self):
+        self.store.results = [Batch([Entry("a", b"1", 0)], 1)]
+        self.follower.follow_once()
+        self.assertEqual(self.heard, [7.0])
+
+
 class TestFaultsOfApplying(FollowerCase):
     """A record is never passed over because applying it failed once.
 
