--- a/packages/valeweir_cli/src/valeweir_cli/causes.py
+++ b/packages/valeweir_cli/src/valeweir_cli/causes.py
@@ -15,6 +15,8 @@
 # Seconds after its end in which a gateway learns what it should have known.
 _AFTER = 10.0
 _DENIALS = frozenset((401, 403, 404))
+# The reason of a refusal where no upstream may be sent anything for now.
+_ALL_PAUSED = "upstreams-backing-off"
 # Stands between the id of an upstream and the start of one of its lives.
 _LIFE_MARK = "@"
 
@@ -30,7 +32,8 @@
     """What is known of a request at one gateway; times are those of the log.
 
     ``upstreams`` holds the lives that it was sent to or refused beside, ``is_denied``
-    whether it was refused for what it asks.
+    whether it was refused for what it asks, ``is_paused`` whether all upstreams that
+    could serve had asked for a pause.
     """
 
     host: str
@@ -38,6 +41,7 @@
     ended: float
     upstreams: frozenset
     is_denied: bool
+    is_paused: bool
 
 
 def find_causes(lines, request_id):
@@ -74,6 +78,7 @@
             line.at,
             frozenset([upstream] if upstream else ()),
             line.fields.get("status") in _DENIALS,
+            line.fields.get("why") == _ALL_PAUSED,
         )
         known = fates.get(line.host)
         fates[line.host] = fate if known is None else _join(known, fate)
@@ -87,6 +92,7 @@
         max(first.ended, second.ended),
         first.upstreams | second.upstreams,
         first.is_denied or second.is_denied,
+        first.is_paused or second.is_paused,
     )
 
 
@@ -134,6 +140,37 @@
     return f"the gateway had waited {waited:.3g} s for a silent store: its view was old"
 
 
+def _explain_leaving(line, fate):
+    upstream = line.fields.get("upstream")
+    source = line.fields.get("source")
+    if source not in _BESIDE_RECORDS or upstream not in fate.upstreams:
+        return None
+    if not _is_around(line, fate):
+        return None
+    how = "in an answer" if source == "answer" else "to another gateway"
+    return f"upstream {upstream} said {how} that it leaves: no new work goes there"
+
+
+def _explain_backoff(line, fate):
+    upstream = line.fields.get("upstream")
+    seconds = line.fields.get("seconds") or 0.0
+    if not fate.is_paused and upstream not in fate.upstreams:
+        return None
+    if line.at > fate.ended or line.at + seconds < fate.arrived:
+        return None
+    return f"upstream {upstream} had asked this gateway for a pause of {seconds:.3g} s"
+
+
+def _explain_older_version(line, fate):
+    if not fate.is_denied or not _is_around(line, fate):
+        return None
+    fields = line.fields
+    return (
+        f"version {fields.get('version')} of the configuration came behind version "
+        f"{fields.get('in_force')}, which stayed in force"
+    )
+
+
 def _is_around(line, fate):
     return fate.arrived - _BEFORE <= line.at <= fate.ended + _BEFORE
 
@@ -142,7 +179,12 @@
     return life.partition(_LIFE_MARK)[0]
 
 
+# Sources of an upstream's leaving that its record may not confirm yet.
+_BESIDE_RECORDS = frozenset(("answer", "peer"))
 _RULES = {
+    "upstream leaving": _explain_leaving,
+    "upstream backoff": _explain_backoff,
+    "configuration not newer": _explain_older_version,
     "process stalled": _explain_stall,
     "bad record": _explain_bad_record,
     "upstream ready": _explain_new_life,
--- a/packages/valeweir_cli/tests/test_explain.py
+++ b/packages/valeweir_cli/tests/test_explain.py
@@ -167,6 +167,11 @@
         born = ("upstream ready", {"upstream": "i-1@9"})
         newer = ("configuration in force", {"version": 7})
         silent = ("store call unanswered", {"waited_s": 6.0})
+        leaving = ("upstream leaving", {"upstream": "i-1@5", "source": "answer"})
+        recorded = ("upstream leaving", {"upstream": "i-1@5", "source": "record"})
+        backoff = ("upstream backoff", {"upstream": "i-7", "seconds": 3.0})
+        older = ("configuration not newer", {"version": 5, "in_force": 11})
+        paused = ("request refused", {"id": "q", "why": "upstreams-backing-off"})
         sent = ("send failed", {"id": "q", "upstream": "i-1@5", "waited_ms": 800.0})
         denied = ("request refused", {"id": "q", "status": 404, "held_ms": 0.5})
         cases = {
@@ -181,6 +186,14 @@
             "no denial": (newer, sent, 11.5, None),
             "silent store": (silent, denied, 12.0, "waited 6 s for a silent store"),
             "silent later": (silent, denied, 17.0, None),
+            "leaves by an answer": (leaving, sent, 9.5, "said in an answer that it"),
+            "leaves by its record": (recorded, sent, 9.5, None),
+            "another one leaves": (leaving, denied, 9.5, None),
+            "all paused": (backoff, paused, 8.0, "i-7 had asked this gateway for a"),
+            "paused long before": (backoff, paused, 6.0, None),
+            "another one paused": (backoff, sent, 9.0, None),
+            "older version": (older, denied, 10.0, "version 5 of the configuration"),
+            "older version, served": (older, sent, 10.0, None),
         }
         for name, ((event, more), (own, fields), at, found) in cases.items():
             with self.subTest(name):
