--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -2,7 +2,7 @@
 
 from . import streams
 from .answers import Head
-from .candidates import find_obstacle
+from .candidates import find_obstacle, has_alternative
 from .catalog import RouteKind
 from .checking import ANSWER_MARGIN
 from .connections import MAX_IDLE, connect
@@ -160,16 +160,7 @@
         return False
     if job.deadline - state.clock() < job.route.goal / 4:
         return False
-    return _has_alternative(state, job, instance)
-
-
-def _has_alternative(state, job, instance):
-    now = state.clock()
-    tried = job.excluded | {instance.id}
-    return any(
-        row.id not in tried and not state.backoffs.is_active(row.id, now)
-        for row in state.directory.get_ready(job.service)
-    )
+    return has_alternative(state, job, state.clock(), besides=instance)
 
 
 def _get_attempt_end(state, job):
--- a/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/candidates.py
@@ -65,6 +65,14 @@
     return state.backoffs.compute_return([row.id for row in rows], now, state.rng)
 
 
+def has_alternative(state, job, now, besides=None):
+    """Return whether an instance ``besides`` one and those tried takes work now."""
+    rows = _keep_permitted(state, job, state.directory.get_ready(job.service))
+    rows = _drop_evacuated(state, rows)
+    untried = [row for row in rows if row.id not in job.excluded and row != besides]
+    return bool(_keep_open(state, untried, now))
+
+
 def take_permit(state, job, instance, now):
     """Use up the permit that the choice of a warming instance rests on."""
     if not _needs_permit(state, job, instance, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/directory.py
@@ -92,9 +92,6 @@
             if old is not None:
                 self._by_digest.pop(get_digest(instance_id), None)
                 self._index(old.service)
-                if instance_id == old.announced_id:
-                    # Without the time of its start a later life has the same id.
-                    self._leaving.pop(instance_id, None)
         return old
 
     def mark_leaving(self, instance_id, source):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding.py
@@ -4,7 +4,7 @@
 
 from . import admission
 from .attempts import attempt
-from .candidates import find_candidates, find_return, take_permit
+from .candidates import find_candidates, find_return, has_alternative, take_permit
 from .checking import check
 from .crash_attribution import check_quarantine, is_held, refuse_held
 from .exchanges import Fault
@@ -127,7 +127,9 @@
             if connects < _MAX_CONNECTS:
                 continue
             return _explain(state, job, failure)
-        if not may_repeat(state, job, failure):
+        # First, as a repeat that nobody takes must not use up the budget.
+        is_sent_on = has_alternative(state, job, state.clock())
+        if not is_sent_on or not may_repeat(state, job, failure):
             return _explain(state, job, failure)
 
 
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -4,12 +4,14 @@
 from types import SimpleNamespace
 
 from valeweir.exceptions import PlatformUnavailable
+from valeweir_gateway.adapters import ListRefused
 from valeweir_gateway.admission import (
     decide,
     decide_by_pressure,
     decide_by_share,
     decide_call,
 )
+from valeweir_gateway.backoffs import Backoffs
 from valeweir_gateway.caches import CacheScout
 from valeweir_gateway.catalog import (
     Account,
@@ -27,6 +29,7 @@
 from valeweir_gateway.intake import Intake
 from valeweir_gateway.loads import Loads
 from valeweir_gateway.members import Member, Members
+from valeweir_gateway.metrics import GatewayMetrics
 from valeweir_gateway.placement import Choice
 from valeweir_gateway.pressure import Level, Overload, Pressure, get_occupancy_level
 from valeweir_gateway.prompts import Prompt
@@ -72,6 +75,8 @@
         shares=Shares(UsageWindow(4.0), Sharing()),
         log=RecordingLog(),
         clock=lambda: NOW,
+        backoffs=Backoffs(),
+        metrics=GatewayMetrics(),
         rng=random.Random(1),
     )
     state.slow_start = SlowStart(state.rng, lambda: 1, SlowStartBound())
@@ -464,6 +469,26 @@
         self.assertEqual(self.scout._queue.qsize(), 1)
         self.assertEqual(self.scout._queue.get(), ENGINE)
 
+    def test_nothing_is_asked_of_one_that_wants_nothing(self):
+        self.state.backoffs.add(ENGINE.id, 3.0, NOW)
+        self.assertFalse(self.scout.ask(ENGINE))
+        self.assertEqual(self.asked, [])
+
+    def test_nothing_is_asked_of_one_that_leaves(self):
+        self.state.directory.mark_leaving(ENGINE.id, "answer")
+        self.assertTrue(self.scout.ask(ENGINE))
+        self.scout.find_new()
+        self.assertEqual(self.asked, [])
+        self.assertTrue(self.scout._queue.empty())
+
+    def test_a_list_that_is_refused_with_a_pause(self):
+        def refuse(address):
+            raise ListRefused(address, 503, "2.5")
+
+        scout = CacheScout(self.state, refuse, fetch=None)
+        self.assertFalse(scout.ask(ENGINE))
+        self.assertEqual(self.state.backoffs.get_end(ENGINE.id), NOW + 2.5)
+
     def test_what_an_engine_holds(self):
         self.assertTrue(self.scout.ask(ENGINE))
         loads = self.state.loads
--- a/packages/valeweir_gateway/tests/test_candidates.py
+++ b/packages/valeweir_gateway/tests/test_candidates.py
@@ -8,6 +8,7 @@
     find_obstacle,
     find_return,
     get_allowed_regions,
+    has_alternative,
     may_receive,
     take_permit,
 )
@@ -240,6 +241,15 @@
         job = self.make_job(route_regions=["north"])
         self.assertEqual(self.find(job).code, "upstreams-backing-off")
 
+    def test_they_are_no_alternative(self):
+        self.pause("a", "b")
+        self.assertTrue(has_alternative(self.state, self.job, NOW))
+        self.assertFalse(
+            has_alternative(self.state, self.job, NOW, besides=self.get("c"))
+        )
+        self.job.excluded = {"i-c"}
+        self.assertFalse(has_alternative(self.state, self.job, NOW))
+
     def test_few_at_a_time_once_it_is_over(self):
         self.pause("a", "b", "c")
         now = NOW + self.PAUSE
