--- a/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/attempts.py
@@ -7,10 +7,9 @@
 from .checking import ANSWER_MARGIN
 from .connections import MAX_IDLE, connect
 from .crash_attribution import is_held, note_answered, note_broken_off
-from .exchanges import Call, Exchange, Failure, Fault, prepare_headers
+from .exchanges import MISDIRECTED, Call, Exchange, Failure, Fault, prepare_headers
 from .pause_recovery import is_behind, wait_for_view
 from .recording import note_failure, note_result, note_sending
-from .repeating import MISDIRECTED
 from .upstream_signals import observe_head
 
 _FRESH_WITHIN = 1.0
--- a/packages/valeweir_gateway/src/valeweir_gateway/caches.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/caches.py
@@ -14,7 +14,7 @@
 from valeweir.exceptions import PlatformUnavailable
 
 from .adapters import ListRefused
-from .reports import get_digest
+from .digests import get_digest
 from .upstream_signals import add_backoff, parse_retry_after
 
 CACHES_PATH = "/fleet/caches"
--- a/packages/valeweir_gateway/src/valeweir_gateway/exchanges.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/exchanges.py
@@ -12,6 +12,8 @@
 from .sockets import is_readable
 from .waiting import Wake, wait_for_socket
 
+# The answer of another upstream at the address.
+MISDIRECTED = 421
 _READ_SIZE = 64 << 10
 _MAX_ANSWER = 64 << 20
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/recording.py
@@ -1,8 +1,7 @@
 """What is counted and logged of requests, and learned of upstreams."""
 
-from .exchanges import Fault
+from .exchanges import MISDIRECTED, Fault
 from .fingerprints import format_fingerprint
-from .repeating import MISDIRECTED
 from .shares import describe_standing
 from .view_source import describe_catalog, describe_upstream, describe_view
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
@@ -4,6 +4,8 @@
 
 from valeweir.models import OUTCOME_HEADER, Outcome
 
+# Seconds until a client may come back to upstreams that are busy.
+BUSY_RETRY = 0.4
 # The most of a request's time that its client may be told to wait.
 _RETRY_RATIO = 1 / 3
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/repeating.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/repeating.py
@@ -2,12 +2,10 @@
 
 from valeweir.models import Outcome
 
-from .exchanges import Fault
-from .refusals import Refusal
+from .exchanges import MISDIRECTED, Fault
+from .refusals import BUSY_RETRY, Refusal
 
-MISDIRECTED = 421
 UNRUN = frozenset((Fault.NOT_SENT, Fault.REJECTED))
-BUSY_RETRY = 0.4
 
 
 def may_repeat(state, job, failure):
--- a/packages/valeweir_gateway/src/valeweir_gateway/reporter.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reporter.py
@@ -2,8 +2,9 @@
 
 from .crash_attribution import Notice
 from .crashes import Crash
+from .digests import get_digest
 from .freshness import Stamps, make_echo
-from .reports import VERSION, Report, get_digest
+from .reports import VERSION, Report
 from .sums import Totals
 from .view_source import get_version
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/reports.py
@@ -6,11 +6,9 @@
 are left out.
 """
 
-import functools
 from enum import StrEnum
 
 import msgspec
-import xxhash
 
 from .freshness import Echo
 
@@ -20,8 +18,6 @@
 # Engines left out look idle and accounts left out look starved, which does more harm;
 # so the engines with least to do go first, down to this many.
 _MIN_LOADS = 40
-# Digests kept: of the parts, instances and accounts in use at a time.
-_DIGESTS = 32_768
 
 
 class Role(StrEnum):
@@ -100,12 +96,6 @@
 _decoder = msgspec.msgpack.Decoder(Report)
 
 
-@functools.lru_cache(_DIGESTS)
-def get_digest(name):
-    """Return a 32-bit digest that stands for a name on the wire."""
-    return xxhash.xxh32_intdigest(name.encode())
-
-
 def encode_report(report):
     """Return the datagrams of a report: one, or hints and then figures."""
     replace = msgspec.structs.replace
--- a/packages/valeweir_gateway/src/valeweir_gateway/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/shares.py
@@ -11,7 +11,7 @@
 import threading
 from typing import NamedTuple
 
-from .reports import get_digest
+from .digests import get_digest
 from .sums import add_rows
 from .usage import Amount, compute_level
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstream_signals.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstream_signals.py
@@ -7,7 +7,7 @@
 
 from typing import NamedTuple
 
-from .repeating import MISDIRECTED
+from .exchanges import MISDIRECTED
 
 LEAVING = "1"
 # From where it may be known that an upstream leaves, besides its record.
--- a/packages/valeweir_gateway/tests/conflicts.py
+++ b/packages/valeweir_gateway/tests/conflicts.py
@@ -13,15 +13,14 @@
 
 from valeweir_gateway.admission import decide, decide_by_share
 from valeweir_gateway.catalog import Account, Catalog, Engine, Limits, Service
+from valeweir_gateway.digests import get_digest
 from valeweir_gateway.directory import Directory, Instance
 from valeweir_gateway.goals import RecentGoals
 from valeweir_gateway.loads import Loads
 from valeweir_gateway.members import Member, Members
 from valeweir_gateway.placement import choose_engine
 from valeweir_gateway.prompts import Part, Prompt
-from valeweir_gateway.refusals import Refusal
-from valeweir_gateway.repeating import BUSY_RETRY
-from valeweir_gateway.reports import get_digest
+from valeweir_gateway.refusals import BUSY_RETRY, Refusal
 from valeweir_gateway.settings import Sharing
 from valeweir_gateway.shares import Shares
 from valeweir_gateway.sums import Totals
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -24,6 +24,7 @@
     Target,
 )
 from valeweir_gateway.client_deadlines import Patience
+from valeweir_gateway.digests import get_digest
 from valeweir_gateway.directory import Directory, Instance
 from valeweir_gateway.goals import RecentGoals
 from valeweir_gateway.intake import Intake
@@ -33,7 +34,6 @@
 from valeweir_gateway.placement import Choice
 from valeweir_gateway.pressure import Level, Overload, Pressure, get_occupancy_level
 from valeweir_gateway.prompts import Prompt
-from valeweir_gateway.reports import get_digest
 from valeweir_gateway.settings import Sharing
 from valeweir_gateway.settings import SlowStart as SlowStartBound
 from valeweir_gateway.shares import Shares
--- a/packages/valeweir_gateway/tests/test_caches.py
+++ b/packages/valeweir_gateway/tests/test_caches.py
@@ -11,8 +11,8 @@
     choose_peer,
     create_caches_handler,
 )
+from valeweir_gateway.digests import get_digest
 from valeweir_gateway.directory import Instance
-from valeweir_gateway.reports import get_digest
 from valeweir_standins.wires import Wire
 
 ENGINES = 20
--- a/packages/valeweir_gateway/tests/test_cold_caches.py
+++ b/packages/valeweir_gateway/tests/test_cold_caches.py
@@ -10,11 +10,11 @@
 import unittest
 
 from valeweir_gateway.cold_caches import Spread, choose_spread
+from valeweir_gateway.digests import get_digest
 from valeweir_gateway.directory import Instance
 from valeweir_gateway.loads import Loads
 from valeweir_gateway.placement import choose_engine
 from valeweir_gateway.prompts import Part, Prompt
-from valeweir_gateway.reports import get_digest
 
 GATEWAYS = 40
 ENGINES = 20
--- a/packages/valeweir_gateway/tests/test_sharing.py
+++ b/packages/valeweir_gateway/tests/test_sharing.py
@@ -2,7 +2,7 @@
 
 from hypothesis import given
 from hypothesis import strategies as st
-from valeweir_gateway.reports import get_digest
+from valeweir_gateway.digests import get_digest
 from valeweir_gateway.settings import Sharing
 from valeweir_gateway.shares import (
     Shares,
