--- a/packages/valeweir_gateway/src/valeweir_gateway/admission/policy.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission/policy.py
@@ -23,31 +23,31 @@
 _RETURNED_FACTOR = 1.3
 
 
-def decide_by_share(state, job, now):
+def decide_by_share(state, ctx, now):
     """Return None, or the `Refusal` of a try beyond its account's share.
 
     Before engines are looked at: a flood costs this gateway little then, and what
     cannot be served is told so at once. Those that pass may still be refused where
     their engine turns out crowded; one draw serves for both.
     """
-    if job.account is None or job.prompt is None:
+    if ctx.account is None or ctx.prompt is None:
         return None
-    job.draw = state.rng.random()
-    return _thin(state, job, get_standing(state, job, now), 0.0, now)
+    ctx.draw = state.rng.random()
+    return _thin(state, ctx, get_standing(state, ctx, now), 0.0, now)
 
 
-def decide(state, job, choice, now):
+def decide(state, ctx, choice, now):
     """Return None to send, or the `Refusal`.
 
     A request goes out while its first event is expected well within the
     route's goal, since half of the waits turn out longer than expected, and
     earlier still where its account has had more than its share.
     """
-    goal = state.goals.note(job.service, job.route.goal, now)
-    standing = get_standing(state, job, now)
-    job.standing = standing
+    goal = state.goals.note(ctx.service, ctx.route.goal, now)
+    standing = get_standing(state, ctx, now)
+    ctx.standing = standing
     crowding = min(1.0, (choice.wait - choice.alone) / (_CROWDED_RATIO * goal))
-    refusal = _thin(state, job, standing, crowding, now)
+    refusal = _thin(state, ctx, standing, crowding, now)
     if refusal is not None:
         return refusal
     allowed = goal * standing.factor
@@ -56,12 +56,12 @@
     limit = max(_GOAL_RATIO * allowed, choice.alone + _AHEAD_RATIO * allowed)
     if choice.wait <= limit:
         return None
-    retry_after = limit_retry(job, max(_MIN_RETRY, choice.wait - limit / 2), now)
+    retry_after = limit_retry(ctx, max(_MIN_RETRY, choice.wait - limit / 2), now)
     inputs = describe(state, choice, standing, limit, now)
     return Refusal(503, "engines-busy", retry_after=retry_after, inputs=inputs)
 
 
-def decide_call(state, job, choice, now):
+def decide_call(state, ctx, choice, now):
     """Return None to send a plain call, or the `Refusal`.
 
     Where no place is free, calls wait in the upstream's own queue, and with each one
@@ -71,11 +71,11 @@
     load = state.loads.get(choice.instance.id, now)
     if load.active + load.remote_active < choice.instance.slots:
         return None
-    limit = _get_goal_left(job, now)
+    limit = _get_goal_left(ctx, now)
     if choice.wait <= limit:
         return None
-    retry_after = max(_MIN_CALL_RETRY, choice.wait - job.route.goal / 2)
-    retry_after = limit_retry(job, retry_after, now)
+    retry_after = max(_MIN_CALL_RETRY, choice.wait - ctx.route.goal / 2)
+    retry_after = limit_retry(ctx, retry_after, now)
     inputs = {
         "upstream": choice.instance.id,
         "expected_ms": round(choice.wait * 1000),
@@ -87,40 +87,40 @@
     return Refusal(503, "calls-busy", retry_after=retry_after, inputs=inputs)
 
 
-def _get_goal_left(job, now):
+def _get_goal_left(ctx, now):
     """Return what is left of the goal, counted from the client's first try."""
-    return job.route.goal - job.spent - (now - job.arrived)
+    return ctx.route.goal - ctx.spent - (now - ctx.arrived)
 
 
-def _thin(state, job, standing, crowding, now):
+def _thin(state, ctx, standing, crowding, now):
     """Return None for the part of an account's tries that its share allows."""
-    if job.account is None:
+    if ctx.account is None:
         return None
-    rate = compute_pass_rate(standing.view, job.prompt.cost, crowding)
-    if job.draw < rate:
+    rate = compute_pass_rate(standing.view, ctx.prompt.cost, crowding)
+    if ctx.draw < rate:
         return None
     inputs = {
         "pass_rate": round(rate, 4),
         "crowding": round(crowding, 2),
         **describe_standing(standing, get_oldest_report(state, now)),
     }
-    retry_after = limit_retry(job, _BEYOND_RETRY, now)
+    retry_after = limit_retry(ctx, _BEYOND_RETRY, now)
     return Refusal(503, "beyond-share", retry_after=retry_after, inputs=inputs)
 
 
-def decide_by_pressure(state, job, now):
+def decide_by_pressure(state, ctx, now):
     """Return None, or the `Refusal` where this gateway does not keep up.
 
     Who has had more than its share goes first. Another gateway may have time,
     and a client that comes back reaches another one.
     """
     wait = state.intake.estimate_wait()
-    level = max(state.get_pressure(), get_intake_level(wait, job.route.goal))
+    level = max(state.get_pressure(), get_intake_level(wait, ctx.route.goal))
     if level is Level.NONE:
         return None
-    if is_returned(job) and wait <= _MAX_INTAKE_RATIO * job.route.goal:
+    if is_returned(ctx) and wait <= _MAX_INTAKE_RATIO * ctx.route.goal:
         return None
-    if level is Level.HIGH and get_standing(state, job, now).factor >= 1.0:
+    if level is Level.HIGH and get_standing(state, ctx, now).factor >= 1.0:
         return None
     inputs = {
         "lag_ms": round(state.pressure.lag * 1000),
@@ -151,20 +151,20 @@
     }
 
 
-def get_standing(state, job, now):
+def get_standing(state, ctx, now):
     """Return the `Standing` that decides on the request."""
-    if job.account is None:
+    if ctx.account is None:
         return UNLIMITED
-    cost = job.prompt.cost if job.prompt else 0
-    declared = job.catalog.limits.tokens_per_second
-    standing = state.shares.get_standing(job.account.name, cost, now, declared)
-    if is_returned(job) and standing.factor >= 1.0:
+    cost = ctx.prompt.cost if ctx.prompt else 0
+    declared = ctx.catalog.limits.tokens_per_second
+    standing = state.shares.get_standing(ctx.account.name, cost, now, declared)
+    if is_returned(ctx) and standing.factor >= 1.0:
         # Refusing it again would make its client lose the whole request. Who has
         # had more than its share gains no more of it by coming back.
         return standing._replace(factor=max(standing.factor, _RETURNED_FACTOR))
     return standing
 
 
-def is_returned(job):
+def is_returned(ctx):
     """Return whether the client has tried before."""
-    return job.spent > _RETURNED_RATIO * (job.spent + job.allowed)
+    return ctx.spent > _RETURNED_RATIO * (ctx.spent + ctx.allowed)
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -25,17 +25,17 @@
 _TIME_UP = frozenset((Fault.LATE, Fault.SLOW))
 
 
-async def attempt(state, job, choice):
+async def attempt(state, ctx, choice):
     """Send once; return None when answered, or the `Failure`."""
     instance = choice.instance
     # Requests that were chosen for before a standstill are sent on after it.
     await wait_for_view(state)
-    sock = await _get_socket(state, job, instance)
+    sock = await _get_socket(state, ctx, instance)
     if isinstance(sock, Failure):
-        note_failure(state, job, choice, sock)
+        note_failure(state, ctx, choice, sock)
         return sock
     now = state.clock()
-    obstacle = _find_obstacle(state, job, instance, now)
+    obstacle = _find_obstacle(state, ctx, instance, now)
     if obstacle is not None:
         sock.close()
         state.metrics.sends_withheld.labels(obstacle).inc()
@@ -44,56 +44,56 @@
         )
     exchange = Exchange(
         sock,
-        job.reply,
+        ctx.reply,
         lambda kept, lifetime: state.connections.keep(instance.id, kept, lifetime),
         state.names.request_id,
-        lambda head: observe_head(state, job, instance, head),
+        lambda head: observe_head(state, ctx, instance, head),
     )
-    if job.sends == 0:
-        job.first_sent = now
-        _note_begun(state, job, now)
-    job.sends += 1
-    note_sending(state, job, instance.id, now)
+    if ctx.sends == 0:
+        ctx.first_sent = now
+        _note_begun(state, ctx, now)
+    ctx.sends += 1
+    note_sending(state, ctx, instance.id, now)
     work = state.loads.start(instance.id, choice.tokens, now)
-    if job.prompt is not None:
-        _note_reads(state, job, choice, now)
+    if ctx.prompt is not None:
+        _note_reads(state, ctx, choice, now)
     try:
-        failure = await _exchange(state, job, choice, exchange, work)
+        failure = await _exchange(state, ctx, choice, exchange, work)
     finally:
         exchange.close()
         state.loads.finish(work, state.clock())
-    note_result(state, job, choice, failure, work)
+    note_result(state, ctx, choice, failure, work)
     if failure is not None and failure.fault in _TIME_UP and not exchange.is_heard:
         # The connection may have fallen silent, and those kept beside it as well. Each
         # would cost another request all of its time; a new one costs a round trip.
         state.connections.drop(instance.id)
     if failure is None:
-        note_answered(state, job)
+        note_answered(state, ctx)
     elif failure.broke_off:
         # Before the next send: it may be what ends them.
-        await note_broken_off(state, job, instance, work.sent)
+        await note_broken_off(state, ctx, instance, work.sent)
     return failure
 
 
-def _find_obstacle(state, job, instance, now):
+def _find_obstacle(state, ctx, instance, now):
     """Return why the request may not be sent now, after all that it waited for."""
-    if is_held(state, job):
+    if is_held(state, ctx):
         return "quarantined"
     if is_behind(state, now):
         return "view-old"
-    return find_obstacle(state, job, instance, now)
+    return find_obstacle(state, ctx, instance, now)
 
 
-def _note_begun(state, job, now):
-    state.retries.note_request(job.service, now)
-    if job.account is not None and job.prompt is not None:
-        name, cost = job.account.name, job.prompt.cost
+def _note_begun(state, ctx, now):
+    state.retries.note_request(ctx.service, now)
+    if ctx.account is not None and ctx.prompt is not None:
+        name, cost = ctx.account.name, ctx.prompt.cost
         state.shares.note_begun(name, cost, now)
         state.metrics.account_tokens.labels(name, "begun").inc(cost)
 
 
-def _note_reads(state, job, choice, now):
-    shared = job.prompt.shared
+def _note_reads(state, ctx, choice, now):
+    shared = ctx.prompt.shared
     instance_id = choice.instance.id
     known = state.loads.is_cached
     state.reads.add(
@@ -102,25 +102,25 @@
     state.loads.note_parts(shared, instance_id, now)
 
 
-async def _get_socket(state, job, instance):
-    repeatable = job.route.repeatable
+async def _get_socket(state, ctx, instance):
+    repeatable = ctx.route.repeatable
     longest_idle = MAX_IDLE if repeatable else _FRESH_WITHIN
     sock = state.connections.take(instance.id, longest_idle)
     if sock is not None:
         return sock
     try:
-        return await connect(instance.address, job.reply)
+        return await connect(instance.address, ctx.reply)
     except OSError as exc:
-        fault = Fault.GONE if job.reply.is_gone else Fault.NOT_SENT
+        fault = Fault.GONE if ctx.reply.is_gone else Fault.NOT_SENT
         return Failure(fault, f"no connection: {exc}")
 
 
-async def _exchange(state, job, choice, exchange, work):
-    failure = await exchange.send(_prepare_call(state, job, choice))
+async def _exchange(state, ctx, choice, exchange, work):
+    failure = await exchange.send(_prepare_call(state, ctx, choice))
     if failure is not None:
         return failure
-    job.out_at = state.clock()
-    head = await exchange.read(_get_attempt_end(state, job))
+    ctx.out_at = state.clock()
+    head = await exchange.read(_get_attempt_end(state, ctx))
     if isinstance(head, Failure):
         return head
     if not isinstance(head, Head):
@@ -132,16 +132,16 @@
         return Failure(Fault.AMBIGUOUS, "unsigned success", head.status)
     if head.status in _PROMISES and not signed:
         return Failure(Fault.AMBIGUOUS, "unsigned promise", head.status)
-    if job.route.kind is RouteKind.STREAM and head.status == 200:
-        return await streams.forward_stream(state, job, exchange, head, work)
+    if ctx.route.kind is RouteKind.STREAM and head.status == 200:
+        return await streams.forward_stream(state, ctx, exchange, head, work)
     body = await exchange.read_body()
     if isinstance(body, Failure):
         return body
     _note_answered(state, choice, work)
-    may_differ = _may_answer_differently(state, job, choice.instance)
+    may_differ = _may_answer_differently(state, ctx, choice.instance)
     if head.status >= _SERVER_ERROR and may_differ:
         return Failure(Fault.AMBIGUOUS, "server error", head.status)
-    _send_answer(job, head, body)
+    _send_answer(ctx, head, body)
     return None
 
 
@@ -160,45 +160,45 @@
     return Failure(Fault.REJECTED, f"rejected with {head.status}", head.status)
 
 
-def _may_answer_differently(state, job, instance):
+def _may_answer_differently(state, ctx, instance):
     """Return whether a failed safe request is worth another upstream."""
-    if job.route.kind is not RouteKind.SAFE or job.sends >= job.route.max_attempts:
+    if ctx.route.kind is not RouteKind.SAFE or ctx.sends >= ctx.route.max_attempts:
         return False
-    if job.deadline - state.clock() < job.route.goal / 4:
+    if ctx.deadline - state.clock() < ctx.route.goal / 4:
         return False
-    return has_alternative(state, job, state.clock(), besides=instance)
+    return has_alternative(state, ctx, state.clock(), besides=instance)
 
 
-def _get_attempt_end(state, job):
+def _get_attempt_end(state, ctx):
     """Return when to try elsewhere, for requests that may be repeated."""
-    if job.route.kind is not RouteKind.SAFE or job.sends >= job.route.max_attempts:
+    if ctx.route.kind is not RouteKind.SAFE or ctx.sends >= ctx.route.max_attempts:
         return None
     now = state.clock()
-    return now + min(job.route.goal, (job.deadline - now) / 2)
+    return now + min(ctx.route.goal, (ctx.deadline - now) / 2)
 
 
-def _prepare_call(state, job, choice):
+def _prepare_call(state, ctx, choice):
     names = state.names
-    request = job.request
-    left = job.deadline + ANSWER_MARGIN - state.clock()
+    request = ctx.request
+    left = ctx.deadline + ANSWER_MARGIN - state.clock()
     added = [
         (names.deadline, str(max(1, int(left * 1000)))),
         (names.expected_instance, choice.instance.announced_id),
-        (names.account, job.account.name if job.account else None),
+        (names.account, ctx.account.name if ctx.account else None),
         (names.fetch_from, choice.source.address if choice.source else None),
     ]
     dropped = state.replaced_headers
-    if job.last_event_id is not None:
+    if ctx.last_event_id is not None:
         dropped = dropped | {names.last_event_id.lower()}
-        added.append((names.last_event_id, job.last_event_id))
+        added.append((names.last_event_id, ctx.last_event_id))
     if request.body or request.method in ("POST", "PUT", "PATCH"):
         added.append(("Content-Length", str(len(request.body))))
     headers = prepare_headers(request.headers, dropped, added)
     return Call(
-        job.id, request.method, request.target, headers, request.body, job.deadline
+        ctx.id, request.method, request.target, headers, request.body, ctx.deadline
     )
 
 
-def _send_answer(job, head, body):
-    job.answered = head.status
-    job.reply.send(head.status, head.headers.items(), body)
+def _send_answer(ctx, head, body):
+    ctx.answered = head.status
+    ctx.reply.send(head.status, head.headers.items(), body)
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/checking.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/checking.py
@@ -11,41 +11,41 @@
 _ELSEWHERE_RETRY = 0.05
 
 
-def check(state, job):
-    """Fill in the job; return a `Refusal` for what cannot be served."""
-    if job.catalog is None or not state.catalog_known:
+def check(state, ctx):
+    """Fill in the request; return a `Refusal` for what cannot be served."""
+    if ctx.catalog is None or not state.catalog_known:
         # What operators have emptied must be known before the first send.
         return Refusal(503, "not-ready", retry_after=_UNREADY_RETRY)
-    headers = job.request.headers
-    _note_own_headers(state, job)
-    denial = _check_allowed(job)
+    headers = ctx.request.headers
+    _note_own_headers(state, ctx)
+    denial = _check_allowed(ctx)
     if denial is not None:
         return _deny(state, denial)
-    _note_time(state, job)
-    job.deadline = job.arrived + job.allowed
-    if state.refusing and not _ends_in_time(state, job):
+    _note_time(state, ctx)
+    ctx.deadline = ctx.arrived + ctx.allowed
+    if state.refusing and not _ends_in_time(state, ctx):
         return Refusal(503, "stopping", retry_after=_ELSEWHERE_RETRY)
-    job.service = _choose_service(state, job.route)
-    job.last_event_id = headers.get(state.names.last_event_id)
-    if job.route.kind is RouteKind.STREAM:
-        job.prompt = parse_prompt(
+    ctx.service = _choose_service(state, ctx.route)
+    ctx.last_event_id = headers.get(state.names.last_event_id)
+    if ctx.route.kind is RouteKind.STREAM:
+        ctx.prompt = parse_prompt(
             headers.get(state.names.token_counts),
             headers.get(state.names.prompt_parts),
         )
     return None
 
 
-def _check_allowed(job):
+def _check_allowed(ctx):
     """Fill in route and account; return a `Refusal` where there is none."""
-    headers = job.request.headers
-    job.route = job.catalog.find_route(headers.get("Host", ""), job.request.path)
-    if job.route is None:
+    headers = ctx.request.headers
+    ctx.route = ctx.catalog.find_route(headers.get("Host", ""), ctx.request.path)
+    if ctx.route is None:
         return Refusal(404, "no-route")
-    if job.route.public or not job.catalog.needs_key:
+    if ctx.route.public or not ctx.catalog.needs_key:
         return None
     scheme, _, key = headers.get("Authorization", "").partition(" ")
-    job.account = job.catalog.find_account(key.strip())
-    if job.account is None or scheme.lower() != "bearer":
+    ctx.account = ctx.catalog.find_account(key.strip())
+    if ctx.account is None or scheme.lower() != "bearer":
         return Refusal(401, "unknown-key")
     return None
 
@@ -77,42 +77,42 @@
     return any(peer.report.catalog_version > version for peer in peers)
 
 
-def _note_own_headers(state, job):
+def _note_own_headers(state, ctx):
     """Count and log headers that the client may not set; they are not sent on."""
-    found = [name.lower() for name in job.request.headers]
+    found = [name.lower() for name in ctx.request.headers]
     found = [name for name in found if name in state.own_headers]
     if not found:
         return
     for name in found:
         state.metrics.headers_dropped.labels(name).inc()
-    state.log.note("headers dropped", id=job.id, names=found)
+    state.log.note("headers dropped", id=ctx.id, names=found)
 
 
-def _note_time(state, job):
+def _note_time(state, ctx):
     """Note how long the client and the route let the request take."""
-    wait = _get_client_wait(state, job)
+    wait = _get_client_wait(state, ctx)
     if wait is None:
-        job.allowed = max(0.0, job.route.timeout - ANSWER_MARGIN)
+        ctx.allowed = max(0.0, ctx.route.timeout - ANSWER_MARGIN)
         return
-    job.spent = state.patience.note(job.route.name, wait, job.arrived)
-    job.allowed = max(0.0, min(job.route.timeout, wait) - ANSWER_MARGIN)
+    ctx.spent = state.patience.note(ctx.route.name, wait, ctx.arrived)
+    ctx.allowed = max(0.0, min(ctx.route.timeout, wait) - ANSWER_MARGIN)
 
 
-def _get_client_wait(state, job):
+def _get_client_wait(state, ctx):
     """Return the seconds that the client will still wait, None where it is not said."""
     try:
-        return float(job.request.headers.get(state.names.deadline)) / 1000.0
+        return float(ctx.request.headers.get(state.names.deadline)) / 1000.0
     except (TypeError, ValueError):
         return None
 
 
-def _ends_in_time(state, job):
+def _ends_in_time(state, ctx):
     """Return whether a planned stop surely leaves the request its time.
 
     A stream may go on for as long as its client lets it; a call ends by its
     deadline.
     """
-    return job.route.kind is not RouteKind.STREAM and job.deadline < state.stop_end
+    return ctx.route.kind is not RouteKind.STREAM and ctx.deadline < state.stop_end
 
 
 def _choose_service(state, route):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/handler.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/handler.py
@@ -16,10 +16,10 @@
 from ..upstreams.exchanges import Fault
 from .attempts import attempt
 from .checking import check
-from .jobs import Job
 from .pause_recovery import wait_for_view
 from .recording import note_refusal
 from .repeating import UNRUN, downgrade_if_ambiguous, explain, explain_late, may_repeat
+from .request_context import RequestContext
 
 _MIN_LEFT = 0.02
 _MAX_CONNECTS = 3
@@ -56,34 +56,34 @@
 
 
 async def _handle(state, request, reply, arrived):
-    job = Job(request, reply, state.catalog, arrived)
-    job.id = request.headers.get(state.names.request_id, "")
-    refusal = check(state, job)
+    ctx = RequestContext(request, reply, state.catalog, arrived)
+    ctx.id = request.headers.get(state.names.request_id, "")
+    refusal = check(state, ctx)
     if refusal is None:
-        refusal = await check_quarantine(state, job)
+        refusal = await check_quarantine(state, ctx)
     if refusal is None:
-        refusal = await _admit(state, job)
+        refusal = await _admit(state, ctx)
     if refusal is None:
-        refusal = await _serve(state, job)
+        refusal = await _serve(state, ctx)
     if refusal is not None:
-        _refuse(state, job, refusal)
+        _refuse(state, ctx, refusal)
 
 
-async def _admit(state, job):
+async def _admit(state, ctx):
     """Wait for the request's turn; return a `Refusal` or None."""
-    _note_asked(state, job)
+    _note_asked(state, ctx)
     # Its share goes first: who is told to come back elsewhere at once would only
     # flood the next gateway.
-    refusal = admission.decide_by_share(state, job, job.arrived)
+    refusal = admission.decide_by_share(state, ctx, ctx.arrived)
     if refusal is not None:
         return refusal
-    refusal = admission.decide_by_pressure(state, job, job.arrived)
+    refusal = admission.decide_by_pressure(state, ctx, ctx.arrived)
     if refusal is not None:
         # Its next request may go elsewhere too.
-        job.reply.close()
+        ctx.reply.close()
         return refusal
     await state.intake.enter()
-    if job.reply.is_gone:
+    if ctx.reply.is_gone:
         # It has waited too long; work on it would be for nobody.
         state.overload.note_left(state.clock())
         return Refusal(499, "client-gone-unread")
@@ -100,82 +100,82 @@
     send_refusal(reply, refusal, request_id, state.names.request_id)
 
 
-def _refuse(state, job, refusal):
-    note_refusal(state, job, refusal)
-    if job.reply.started:
-        job.reply.cut()
+def _refuse(state, ctx, refusal):
+    note_refusal(state, ctx, refusal)
+    if ctx.reply.started:
+        ctx.reply.cut()
         return
     if refusal.status == 499:
-        job.reply.drop()
+        ctx.reply.drop()
         return
-    send_refusal(job.reply, refusal, job.id, state.names.request_id)
+    send_refusal(ctx.reply, refusal, ctx.id, state.names.request_id)
 
 
-async def _serve(state, job):
+async def _serve(state, ctx):
     """Send the request until it is answered; return a `Refusal` or None."""
     connects = 0
     while True:
         now = state.clock()
-        if job.deadline - now < _MIN_LEFT:
-            return explain_late(job)
-        choice = _place(state, job, now)
+        if ctx.deadline - now < _MIN_LEFT:
+            return explain_late(ctx)
+        choice = _place(state, ctx, now)
         if isinstance(choice, Refusal):
-            return downgrade_if_ambiguous(job, choice)
-        failure = await attempt(state, job, choice)
+            return downgrade_if_ambiguous(ctx, choice)
+        failure = await attempt(state, ctx, choice)
         if failure is None:
             return None
-        job.excluded.add(choice.instance.id)
+        ctx.excluded.add(choice.instance.id)
         if failure.fault not in UNRUN:
-            job.may_have_run = True
+            ctx.may_have_run = True
         if failure.fault is Fault.NOT_SENT:
             connects += 1
             if connects < _MAX_CONNECTS:
                 continue
-            return _explain(state, job, failure)
+            return _explain(state, ctx, failure)
         # First, as a repeat that nobody takes must not use up the budget.
-        is_sent_on = has_alternative(state, job, state.clock())
-        if not is_sent_on or not may_repeat(state, job, failure):
-            return _explain(state, job, failure)
+        is_sent_on = has_alternative(state, ctx, state.clock())
+        if not is_sent_on or not may_repeat(state, ctx, failure):
+            return _explain(state, ctx, failure)
 
 
-def _explain(state, job, failure):
+def _explain(state, ctx, failure):
     """Return the `Refusal` after a failed send, with a true time to come back."""
-    refusal = explain(state, job, failure)
+    refusal = explain(state, ctx, failure)
     if refusal.retry_after is None:
         return refusal
-    wait = find_return(state, job, state.clock())
+    wait = find_return(state, ctx, state.clock())
     return refusal if wait is None else refusal._replace(retry_after=wait)
 
 
-def _place(state, job, now):
+def _place(state, ctx, now):
     """Return the `Choice` for the next send, or a `Refusal`."""
-    if is_held(state, job):
-        return refuse_held(state, job)
-    rows = find_candidates(state, job, now)
+    if is_held(state, ctx):
+        return refuse_held(state, ctx)
+    rows = find_candidates(state, ctx, now)
     if isinstance(rows, Refusal):
         return rows
-    choice = _choose(state, job, rows, now)
-    if job.sends == 0:
-        decide = admission.decide if job.prompt else admission.decide_call
-        refusal = decide(state, job, choice, now)
+    choice = _choose(state, ctx, rows, now)
+    if ctx.sends == 0:
+        decide = admission.decide if ctx.prompt else admission.decide_call
+        refusal = decide(state, ctx, choice, now)
         if refusal is not None:
             return refusal
-    take_permit(state, job, choice.instance, now)
+    take_permit(state, ctx, choice.instance, now)
     return choice
 
 
-def _choose(state, job, rows, now):
-    if job.prompt is None:
+def _choose(state, ctx, rows, now):
+    if ctx.prompt is None:
         zone = state.cfg.domain
         return choose_instance(rows, state.loads, zone, now, state.rng)
-    engine = job.catalog.services[job.service].engine
-    patience = _PATIENCE_RATIO * job.route.goal
-    target = job.route.goal
-    return choose_engine(job.prompt, rows, state.loads, now, engine, patience, target)
+    engine = ctx.catalog.services[ctx.service].engine
+    patience = _PATIENCE_RATIO * ctx.route.goal
+    target = ctx.route.goal
+    return choose_engine(ctx.prompt, rows, state.loads, now, engine, patience, target)
 
 
-def _note_asked(state, job):
-    if job.account is not None and job.prompt is not None:
-        name, cost = job.account.name, job.prompt.cost
-        state.shares.note_asked(name, cost, job.arrived)
+def _note_asked(state, ctx):
+    if ctx.account is not None and ctx.prompt is not None:
+        name, cost = ctx.account.name, ctx.prompt.cost
+        state.shares.note_asked(name, cost, ctx.arrived)
         state.metrics.account_tokens.labels(name, "asked").inc(cost)
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/recording.py
@@ -12,7 +12,7 @@
 _MAX_ASKED = 80
 
 
-def note_refusal(state, job, refusal):
+def note_refusal(state, ctx, refusal):
     """Count and log an answer of our own."""
     state.metrics.refused.labels(refusal.code).inc()
     denied = refusal.status in _DENIALS
@@ -20,24 +20,24 @@
         "request refused",
         failed=True,
         denied=denied,
-        id=job.id,
+        id=ctx.id,
         status=refusal.status,
         why=refusal.code,
-        route=job.route.name if job.route else None,
-        account=job.account.name if job.account else None,
-        version=job.catalog.version if job.catalog else None,
-        sends=job.sends,
-        first_sent_ms=_get_first_sent(job),
-        held_ms=to_milliseconds(state.clock() - job.arrived),
+        route=ctx.route.name if ctx.route else None,
+        account=ctx.account.name if ctx.account else None,
+        version=ctx.catalog.version if ctx.catalog else None,
+        sends=ctx.sends,
+        first_sent_ms=_get_first_sent(ctx),
+        held_ms=to_milliseconds(state.clock() - ctx.arrived),
         retry_after=refusal.retry_after,
         **(refusal.inputs or {}),
-        **(_describe_asked(state, job) if denied else {}),
+        **(_describe_asked(state, ctx) if denied else {}),
     )
 
 
-def _describe_asked(state, job):
+def _describe_asked(state, ctx):
     """Return the fields that tell what was denied, and by which configuration."""
-    request = job.request
+    request = ctx.request
     return {
         "asked_host": request.headers.get("Host", "")[:_MAX_ASKED],
         "asked_path": _get_prefix(request.path),
@@ -50,16 +50,16 @@
     return path[: path.rfind("/") + 1][:_MAX_ASKED]
 
 
-def note_result(state, job, choice, failure, work):
+def note_result(state, ctx, choice, failure, work):
     """Take in how a send ended: condition of the upstream, counters, a line."""
     now = state.clock()
     if failure is not None:
-        note_failure(state, job, choice, failure)
+        note_failure(state, ctx, choice, failure)
         return
-    kind = job.route.kind.value
-    state.metrics.served.labels(kind, job.answered).inc()
-    state.metrics.request_seconds.labels(kind).observe(now - job.arrived)
-    if work.first is not None and job.prompt is not None:
+    kind = ctx.route.kind.value
+    state.metrics.served.labels(kind, ctx.answered).inc()
+    state.metrics.request_seconds.labels(kind).observe(now - ctx.arrived)
+    if work.first is not None and ctx.prompt is not None:
         state.metrics.first_seconds.observe(work.first)
         state.metrics.expected_seconds.observe(choice.wait)
     state.domains.note_success(choice.instance.zone)
@@ -67,11 +67,11 @@
         state.log.note("upstream back", upstream=choice.instance.id)
     state.log.note(
         "request served",
-        id=job.id,
-        status=job.answered,
-        route=job.route.name,
-        account=job.account.name if job.account else None,
-        version=job.catalog.version,
+        id=ctx.id,
+        status=ctx.answered,
+        route=ctx.route.name,
+        account=ctx.account.name if ctx.account else None,
+        version=ctx.catalog.version,
         upstream=choice.instance.id,
         reason=choice.reason,
         source=choice.source.id if choice.source else None,
@@ -79,18 +79,18 @@
         unread=choice.tokens,
         ahead=work.ahead,
         running=work.running,
-        goal_ms=to_milliseconds(job.route.goal),
-        first_sent_ms=_get_first_sent(job),
+        goal_ms=to_milliseconds(ctx.route.goal),
+        first_sent_ms=_get_first_sent(ctx),
         first_ms=to_milliseconds(work.first or 0.0),
-        out_ms=_get_out(job),
-        sends=job.sends,
-        took_ms=to_milliseconds(now - job.arrived),
-        **(describe_standing(job.standing) if job.standing else {}),
-        **job.belief,
+        out_ms=_get_out(ctx),
+        sends=ctx.sends,
+        took_ms=to_milliseconds(now - ctx.arrived),
+        **(describe_standing(ctx.standing) if ctx.standing else {}),
+        **ctx.belief,
     )
 
 
-def note_failure(state, job, choice, failure):
+def note_failure(state, ctx, choice, failure):
     """Take in a send that gave no whole answer."""
     now = state.clock()
     instance_id = choice.instance.id
@@ -109,20 +109,20 @@
     state.log.note(
         "send failed",
         failed=True,
-        id=job.id,
+        id=ctx.id,
         fault=failure.fault.value,
         why=failure.text,
         status=failure.status,
         broke_off=failure.broke_off,
-        route=job.route.name,
-        account=job.account.name if job.account else None,
-        fingerprint=format_fingerprint(job.fingerprint),
+        route=ctx.route.name,
+        account=ctx.account.name if ctx.account else None,
+        fingerprint=format_fingerprint(ctx.fingerprint),
         upstream=instance_id,
-        sends=job.sends,
+        sends=ctx.sends,
         ejected_s=pause,
-        waited_ms=to_milliseconds(now - job.arrived),
-        out_ms=_get_out(job),
-        **job.belief,
+        waited_ms=to_milliseconds(now - ctx.arrived),
+        out_ms=_get_out(ctx),
+        **ctx.belief,
     )
 
 
@@ -137,27 +137,27 @@
     return failure.status > 0 and state.backoffs.is_active(instance_id, now)
 
 
-def note_sending(state, job, instance_id, now):
+def note_sending(state, ctx, instance_id, now):
     """Remember what this gateway believes as it sends, for the line at the end."""
-    job.out_at = None
-    job.belief = {
+    ctx.out_at = None
+    ctx.belief = {
         **describe_view(state, now),
         **describe_upstream(state, instance_id, now),
     }
 
 
-def _get_out(job):
+def _get_out(ctx):
     """Return the milliseconds until the last byte left, None where none did."""
-    if job.out_at is None:
+    if ctx.out_at is None:
         return None
-    return to_milliseconds(job.out_at - job.arrived)
+    return to_milliseconds(ctx.out_at - ctx.arrived)
 
 
-def _get_first_sent(job):
+def _get_first_sent(ctx):
     """Return the milliseconds until the first send, None where there was none."""
-    if job.first_sent is None:
+    if ctx.first_sent is None:
         return None
-    return to_milliseconds(job.first_sent - job.arrived)
+    return to_milliseconds(ctx.first_sent - ctx.arrived)
 
 
 def to_milliseconds(seconds):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/repeating.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/repeating.py
@@ -8,26 +8,26 @@
 UNRUN = frozenset((Fault.NOT_SENT, Fault.REJECTED))
 
 
-def may_repeat(state, job, failure):
+def may_repeat(state, ctx, failure):
     """Return whether the request may go out once more, and take its repeat."""
     if failure.fault in (Fault.GONE, Fault.LATE):
         return False
-    if job.reply.started and not _may_resume(job):
+    if ctx.reply.started and not _may_resume(ctx):
         return False
     unrun = failure.fault is Fault.REJECTED
-    if not unrun and not job.route.repeatable:
+    if not unrun and not ctx.route.repeatable:
         return False
     misdirected = unrun and failure.status == MISDIRECTED
-    if job.sends >= job.route.max_attempts and not misdirected:
+    if ctx.sends >= ctx.route.max_attempts and not misdirected:
         return False
-    if job.sends > job.route.max_attempts:
+    if ctx.sends > ctx.route.max_attempts:
         return False
-    if _ended_others(state, job):
+    if _ended_others(state, ctx):
         return False
-    return state.retries.spend(job.service, state.clock())
+    return state.retries.spend(ctx.service, state.clock())
 
 
-def _ended_others(state, job):
+def _ended_others(state, ctx):
     """Return whether upstreams ended under it more than once.
 
     To repeat it unasked could cost a third. The few that only ran there both times are
@@ -35,34 +35,34 @@
     """
     if not state.suspects:
         return False
-    return state.suspects.get_count(job.fingerprint).upstreams > 1
+    return state.suspects.get_count(ctx.fingerprint).upstreams > 1
 
 
-def downgrade_if_ambiguous(job, refusal):
+def downgrade_if_ambiguous(ctx, refusal):
     """Return the refusal, or one that promises nothing where it may have run."""
-    if job.may_have_run:
+    if ctx.may_have_run:
         return Refusal(502, refusal.code, Outcome.UNKNOWN)
     return refusal
 
 
-def _may_resume(job):
+def _may_resume(ctx):
     """Return whether a stream that broke may go on inside the same answer."""
-    return job.route.resumable and bool(job.last_event_id)
+    return ctx.route.resumable and bool(ctx.last_event_id)
 
 
-def explain_late(job):
+def explain_late(ctx):
     """Return the `Refusal` of a request whose time is up between sends."""
-    if not job.may_have_run:
+    if not ctx.may_have_run:
         return Refusal(503, "deadline", retry_after=BUSY_RETRY)
     return Refusal(504, "deadline", Outcome.UNKNOWN)
 
 
-def explain(state, job, failure):
+def explain(state, ctx, failure):
     """Return the `Refusal` that tells what became of the request, or None."""
-    if failure.fault is Fault.GONE or job.reply.started:
+    if failure.fault is Fault.GONE or ctx.reply.started:
         return Refusal(499, "client-gone", Outcome.UNKNOWN)
     if failure.fault is Fault.LATE:
         return Refusal(504, "deadline", Outcome.UNKNOWN)
-    if not job.may_have_run:
+    if not ctx.may_have_run:
         return Refusal(503, failure.fault.value, retry_after=BUSY_RETRY)
     return Refusal(502, failure.fault.value, Outcome.UNKNOWN)
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/jobs.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
@@ -3,7 +3,7 @@
 from ..quarantine.fingerprints import get_fingerprint
 
 
-class Job:
+class RequestContext:
     """One request on its way. Times are on the steady clock."""
 
     __slots__ = (
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/candidates.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/candidates.py
@@ -6,38 +6,38 @@
 _MIN_RETRY = 0.05
 
 
-def find_candidates(state, job, now):
+def find_candidates(state, ctx, now):
     """Return the instances that a request may go to, or the `Refusal`."""
-    ready = state.directory.get_ready(job.service)
+    ready = state.directory.get_ready(ctx.service)
     if not ready:
         return Refusal(503, "no-upstream", retry_after=BUSY_RETRY)
-    permitted = _keep_permitted(state, job, ready)
+    permitted = _keep_permitted(state, ctx, ready)
     if not permitted:
         return Refusal(503, "no-upstream-in-region")
     ready = _drop_evacuated(state, permitted)
     if not ready:
         inputs = {"evacuated": sorted(state.evacuations.domains)}
         return Refusal(503, "evacuated", retry_after=BUSY_RETRY, inputs=inputs)
-    if job.excluded:
-        ready = [row for row in ready if row.id not in job.excluded]
+    if ctx.excluded:
+        ready = [row for row in ready if row.id not in ctx.excluded]
     paused, ready = ready, _keep_open(state, ready, now)
     if paused and not ready:
         return _refuse_paused(state, paused, now)
-    rows = _keep_warm(state, job, _keep_usable(state, ready, now), now)
+    rows = _keep_warm(state, ctx, _keep_usable(state, ready, now), now)
     if not rows and not ready:
         return Refusal(503, "no-upstream", retry_after=BUSY_RETRY)
     if not rows:
         # Instances that were set aside may still be better than none.
-        rows = _keep_warm(state, job, ready, now)
-    return rows or _refuse_warming(state, job, ready, now)
+        rows = _keep_warm(state, ctx, ready, now)
+    return rows or _refuse_warming(state, ctx, ready, now)
 
 
-def may_receive(state, job, instance, now):
+def may_receive(state, ctx, instance, now):
     """Return whether the instance chosen may still get the request."""
-    return find_obstacle(state, job, instance, now) is None
+    return find_obstacle(state, ctx, instance, now) is None
 
 
-def find_obstacle(state, job, instance, now):
+def find_obstacle(state, ctx, instance, now):
     """Return why the instance chosen may not get the request any more, or None."""
     if not state.directory.is_ready(instance.id):
         return "leaving"
@@ -45,39 +45,39 @@
         return "evacuated"
     if not _is_open(state, instance, now):
         return "backoff"
-    if job.permit == instance.id or not _needs_permit(state, job, instance, now):
+    if ctx.permit == instance.id or not _needs_permit(state, ctx, instance, now):
         return None
-    if state.slow_start.take(instance.id, _get_rate(job), now):
+    if state.slow_start.take(instance.id, _get_rate(ctx), now):
         return None
     return "warming"
 
 
-def find_return(state, job, now):
+def find_return(state, ctx, now):
     """Return the seconds until a pause ends where all that may serve asked for one.
 
     None where some instance takes work now, or none is there.
     """
-    rows = _keep_permitted(state, job, state.directory.get_ready(job.service))
+    rows = _keep_permitted(state, ctx, state.directory.get_ready(ctx.service))
     rows = _drop_evacuated(state, rows)
     if not rows or _keep_open(state, rows, now):
         return None
     return state.backoffs.compute_return([row.id for row in rows], now, state.rng)
 
 
-def has_alternative(state, job, now, besides=None):
+def has_alternative(state, ctx, now, besides=None):
     """Return whether an instance ``besides`` one and those tried takes work now."""
-    rows = _keep_permitted(state, job, state.directory.get_ready(job.service))
+    rows = _keep_permitted(state, ctx, state.directory.get_ready(ctx.service))
     rows = _drop_evacuated(state, rows)
-    untried = [row for row in rows if row.id not in job.excluded and row != besides]
+    untried = [row for row in rows if row.id not in ctx.excluded and row != besides]
     return bool(_keep_open(state, untried, now))
 
 
-def take_permit(state, job, instance, now):
+def take_permit(state, ctx, instance, now):
     """Use up the permit that the choice of a warming instance rests on."""
-    if not _needs_permit(state, job, instance, now):
+    if not _needs_permit(state, ctx, instance, now):
         return
-    if state.slow_start.take(instance.id, _get_rate(job), now):
-        job.permit = instance.id
+    if state.slow_start.take(instance.id, _get_rate(ctx), now):
+        ctx.permit = instance.id
 
 
 def get_allowed_regions(route, account):
@@ -88,8 +88,8 @@
     return own & account.regions if own else account.regions
 
 
-def _keep_permitted(state, job, rows):
-    allowed = get_allowed_regions(job.route, job.account)
+def _keep_permitted(state, ctx, rows):
+    allowed = get_allowed_regions(ctx.route, ctx.account)
     if allowed is None:
         return rows
     regions = state.cfg.regions
@@ -123,10 +123,10 @@
     return usable
 
 
-def _keep_warm(state, job, rows, now):
+def _keep_warm(state, ctx, rows, now):
     """Leave out warming instances for which this gateway has no permit."""
     slow_start = state.slow_start
-    rate = _get_rate(job)
+    rate = _get_rate(ctx)
     if not slow_start or rate <= 0.0:
         return rows
     return [
@@ -137,12 +137,12 @@
     ]
 
 
-def _needs_permit(state, job, instance, now):
-    return _get_rate(job) > 0.0 and state.slow_start.is_warming(instance.id, now)
+def _needs_permit(state, ctx, instance, now):
+    return _get_rate(ctx) > 0.0 and state.slow_start.is_warming(instance.id, now)
 
 
-def _get_rate(job):
-    service = job.catalog.services.get(job.service)
+def _get_rate(ctx):
+    service = ctx.catalog.services.get(ctx.service)
     return service.warm_rate if service is not None else 0.0
 
 
@@ -159,9 +159,9 @@
     return Refusal(503, "upstreams-backing-off", retry_after=wait, inputs=inputs)
 
 
-def _refuse_warming(state, job, rows, now):
+def _refuse_warming(state, ctx, rows, now):
     """Return the `Refusal` where all that could serve are warming up."""
     ends = [state.slow_start.get_end(row.id) for row in rows]
-    retry_after = limit_retry(job, max(_MIN_RETRY, min(ends) - now), now)
+    retry_after = limit_retry(ctx, max(_MIN_RETRY, min(ends) - now), now)
     inputs = {"warming": len(rows)}
     return Refusal(503, "upstreams-warming", retry_after=retry_after, inputs=inputs)
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
@@ -30,7 +30,7 @@
     crash: Crash | None
 
 
-async def check_quarantine(state, job):
+async def check_quarantine(state, ctx):
     """Return the `Refusal` of a request that is held back, None if it may be sent.
 
     Where a trial is due, the one gateway of the fleet that may make it sends it on.
@@ -38,33 +38,33 @@
     if not state.quarantine:
         # Nothing is held: no digest is taken.
         return None
-    held = state.quarantine.get(job.fingerprint)
+    held = state.quarantine.get(ctx.fingerprint)
     if held is None:
         return None
     if held.is_due(state.clock()) and await state.quarantine_store.claim(
-        job.fingerprint
+        ctx.fingerprint
     ):
-        job.is_trial = True
-        state.log.note("trial sent", **_describe(job, held.record))
+        ctx.is_trial = True
+        state.log.note("trial sent", **_describe(ctx, held.record))
         return None
-    return refuse_held(state, job)
+    return refuse_held(state, ctx)
 
 
-def is_held(state, job):
+def is_held(state, ctx):
     """Return whether a request was found to end upstreams while it waited here."""
-    if not state.quarantine or job.is_trial:
+    if not state.quarantine or ctx.is_trial:
         return False
-    return state.quarantine.get(job.fingerprint) is not None
+    return state.quarantine.get(ctx.fingerprint) is not None
 
 
-def refuse_held(state, job):
+def refuse_held(state, ctx):
     """Return the `Refusal` of a request that is held back: at once, and not run."""
     now = state.clock()
-    held = state.quarantine.get(job.fingerprint)
+    held = state.quarantine.get(ctx.fingerprint)
     wait = _LONG_RETRY
     if held is not None and held.due is not None:
         wait = max(_MIN_RETRY, held.due - now)
-    inputs = {"fingerprint": format_fingerprint(job.fingerprint)}
+    inputs = {"fingerprint": format_fingerprint(ctx.fingerprint)}
     if held is not None:
         inputs |= {
             "ended_upstreams": held.record.upstreams,
@@ -74,45 +74,45 @@
     return Refusal(503, "quarantined", retry_after=wait, inputs=inputs)
 
 
-async def note_broken_off(state, job, instance, sent):
+async def note_broken_off(state, ctx, instance, sent):
     """Take in a send whose connection broke off: did its upstream end?"""
     broke = state.clock()
     if not await state.endings.has_ended(instance, sent):
         return
     state.metrics.upstream_ends.inc()
     crash = Crash(get_digest(instance.id), sent, broke)
-    state.notices.append(Notice(job.fingerprint, crash))
+    state.notices.append(Notice(ctx.fingerprint, crash))
     _set_aside(state, crash, broke)
-    count = state.suspects.add(job.fingerprint, crash, broke)
+    count = state.suspects.add(ctx.fingerprint, crash, broke)
     if count is None:
         return
     state.log.note(
         "upstream ended under request",
         failed=True,
-        id=job.id,
+        id=ctx.id,
         upstream=instance.id,
         ran_ms=round((broke - sent) * 1000.0, 1),
         upstreams=count.upstreams,
         runs=count.runs,
-        **_name(job),
+        **_name(ctx),
     )
     if is_to_blame(count):
-        _hold(state, job.fingerprint, count, broke, job)
+        _hold(state, ctx.fingerprint, count, broke, ctx)
 
 
-def note_answered(state, job):
+def note_answered(state, ctx):
     """Take in a whole answer: whatever ended before, this request did not end it."""
     if not state.suspects and not state.quarantine:
         return
     now = state.clock()
-    suspect = state.suspects.clear(job.fingerprint, now)
-    held = state.quarantine.remove(job.fingerprint)
+    suspect = state.suspects.clear(ctx.fingerprint, now)
+    held = state.quarantine.remove(ctx.fingerprint)
     if not suspect and not held:
         return
-    state.notices.append(Notice(job.fingerprint, None))
+    state.notices.append(Notice(ctx.fingerprint, None))
     if held:
-        state.quarantine_store.forget(job.fingerprint)
-        state.log.note("request let go", why="answered", id=job.id, **_name(job))
+        state.quarantine_store.forget(ctx.fingerprint)
+        state.log.note("request let go", why="answered", id=ctx.id, **_name(ctx))
 
 
 def take_notice(state, notice, now):
@@ -181,26 +181,26 @@
         state.loads.note_error(instance_id, now, severe=True)
 
 
-def _hold(state, fingerprint, count, now, job=None):
-    """Hold a request back; ``job`` is its try here, if an upstream ended under that."""
+def _hold(state, fingerprint, count, now, ctx=None):
+    """Hold a request back; ``ctx`` is its try here, if an upstream ended under that."""
     blamed = state.quarantine.get_all().keys()
     others = state.suspects.count_others(fingerprint, blamed, now)
     record = QuarantineRecord(
         count.upstreams,
         count.runs,
         is_sure=is_confirmed(count, others),
-        account=job.account.name if job and job.account else None,
-        target=job.request.target[:_MAX_TARGET] if job else "",
+        account=ctx.account.name if ctx and ctx.account else None,
+        target=ctx.request.target[:_MAX_TARGET] if ctx else "",
         host=state.cfg.host,
     )
     if state.quarantine.put(fingerprint, record, now):
         state.log.note(
             "request quarantined",
-            source="observed" if job else "peers",
+            source="observed" if ctx else "peers",
             fingerprint=format_fingerprint(fingerprint),
             **_get_fields(record),
         )
-    state.quarantine_store.keep(fingerprint, observed=job is not None)
+    state.quarantine_store.keep(fingerprint, observed=ctx is not None)
 
 
 def _get_fields(record):
@@ -213,13 +213,13 @@
     }
 
 
-def _name(job):
+def _name(ctx):
     return {
-        "fingerprint": format_fingerprint(job.fingerprint),
-        "route": job.route.name,
-        "account": job.account.name if job.account else None,
+        "fingerprint": format_fingerprint(ctx.fingerprint),
+        "route": ctx.route.name,
+        "account": ctx.account.name if ctx.account else None,
     }
 
 
-def _describe(job, record):
-    return {"id": job.id, "trials": record.trials, **_name(job)}
+def _describe(ctx, record):
+    return {"id": ctx.id, "trials": record.trials, **_name(ctx)}
--- a/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/refusals.py
@@ -24,9 +24,9 @@
     inputs: dict | None = None
 
 
-def limit_retry(job, seconds, now):
+def limit_retry(ctx, seconds, now):
     """Return a time to come back that leaves the client time to be served."""
-    return min(seconds, (job.deadline - now) * _RETRY_RATIO)
+    return min(seconds, (ctx.deadline - now) * _RETRY_RATIO)
 
 
 def send_refusal(reply, refusal, request_id, id_header):
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
@@ -10,7 +10,7 @@
 _RESTING_RATIO = 0.3
 
 
-async def forward_stream(state, job, exchange, head, work):
+async def forward_stream(state, ctx, exchange, head, work):
     """Pass events on as they come; return None when whole, or a `Failure`.
 
     Only whole events go out, so that a stream which breaks can be taken up
@@ -25,45 +25,45 @@
         if isinstance(item, Failure):
             return item
         if isinstance(item, End):
-            return await _end(job, head, splitter)
+            return await _end(ctx, head, splitter)
         assert isinstance(item, Data)
         state.loads.note_progress(work, state.clock())
         blocks = splitter.feed(item.data)
         while (more := exchange.read_ready()) is not None:
             blocks += splitter.feed(more.data)
-        failure = await _pass_on(job, head, blocks)
+        failure = await _pass_on(ctx, head, blocks)
         if failure is not None:
             return failure
         if blocks and not exchange.is_over:
             await state.pause(rest)
 
 
-async def _pass_on(job, head, blocks):
-    later = [block for block in blocks if is_later(block.id, job.last_event_id)]
+async def _pass_on(ctx, head, blocks):
+    later = [block for block in blocks if is_later(block.id, ctx.last_event_id)]
     if not later:
         return None
     try:
-        _start(job, head)
-        await job.reply.write(b"".join(block.data for block in later))
+        _start(ctx, head)
+        await ctx.reply.write(b"".join(block.data for block in later))
     except ClientGone:
         return Failure(Fault.GONE, "the client left")
     for block in later:
-        job.last_event_id = block.id or job.last_event_id
+        ctx.last_event_id = block.id or ctx.last_event_id
     return None
 
 
-async def _end(job, head, splitter):
+async def _end(ctx, head, splitter):
     try:
-        _start(job, head)
+        _start(ctx, head)
         if splitter.has_rest:
-            await job.reply.write(splitter.take_rest())
+            await ctx.reply.write(splitter.take_rest())
     except ClientGone:
         return Failure(Fault.GONE, "the client left")
-    job.reply.end()
+    ctx.reply.end()
     return None
 
 
-def _start(job, head):
-    if not job.reply.started:
-        job.answered = head.status
-        job.reply.start_stream(head.status, list(head.headers.items()))
+def _start(ctx, head):
+    if not ctx.reply.started:
+        ctx.answered = head.status
+        ctx.reply.start_stream(head.status, list(head.headers.items()))
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/upstream_signals.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/upstream_signals.py
@@ -55,23 +55,23 @@
     return float(text)
 
 
-def observe_head(state, job, instance, head):
+def observe_head(state, ctx, instance, head):
     """Take in what the head of an answer says of its upstream."""
     state.loads.note_head(instance.id, state.clock())
     signals = read_signals(state.names, head)
     if signals.is_leaving:
-        note_leaving(state, instance.id, "answer", id=job.id, status=head.status)
+        note_leaving(state, instance.id, "answer", id=ctx.id, status=head.status)
     if signals.fault is not None:
         state.log.note(
             "retry-after ignored",
             failed=True,
-            id=job.id,
+            id=ctx.id,
             upstream=instance.id,
             status=head.status,
             value=signals.fault,
         )
     if signals.backoff is not None:
-        add_backoff(state, instance.id, signals.backoff, id=job.id, status=head.status)
+        add_backoff(state, instance.id, signals.backoff, id=ctx.id, status=head.status)
 
 
 def note_leaving(state, instance_id, source, **inputs):
