--- a/packages/valeweir_cli/src/valeweir_cli/explain.py
+++ b/packages/valeweir_cli/src/valeweir_cli/explain.py
@@ -17,7 +17,7 @@
         "upstream ended under request",
         "request quarantined",
         "trial sent",
-        "request let go",
+        "request released",
     )
 )
 _HIDDEN = ("t", "time", "event", "host", "id", "left_out")
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/freshness.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/freshness.py
@@ -1,11 +1,11 @@
-"""As of when this gateway's view of the store is known to have been whole.
-
-Whoever reads the store knows it from the store's answers, the others by a peer's word
-that its view, up to the same ends, was whole some seconds before it spoke. When it
-spoke is not known, but it answers to a stamp of this gateway's own clock and so spoke
-after that. Time on the way, in queues and in pauses therefore makes a view look older
-than it is and never younger, and passing an age round renews nothing. Counted from
-its arrival instead, an age would be renewed by each message under way.
+"""As of when this gateway's view of the store is known to be complete.
+
+A gateway that reads the store knows it from the store's answers. The others rely on a
+peer's report that its view, up to the same offsets, was complete some seconds before
+the report was sent. The time of sending is unknown, but the report echoes a stamp of
+this gateway's own clock and so was sent after it. Network delay, queues and pauses
+therefore make a view look older than it is, never younger, and an age that is passed
+around in circles is not renewed.
 """
 
 import threading
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/relays.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/relays.py
@@ -4,7 +4,7 @@
 few relays: a gateway reports to one of them, relays report sums of their groups
 to each other, and each tells its group about all the rest. Nobody is elected:
 every gateway ranks the members that it knows in the same order, passes over
-those that do not answer, and whoever is reported to acts as a relay.
+those that do not answer, and a gateway that gets reports acts as a relay.
 """
 
 import math
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/checking.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/checking.py
@@ -53,7 +53,7 @@
 def _deny(state, denial):
     """Return a refusal that blames the client only where the configuration is new.
 
-    Whoever gets 404 or 401 does not come again, though what it asks for may have been
+    A client that gets 404 or 401 does not retry, though what it asks for may have been
     added since this gateway last heard of changes. It reads them meanwhile, so this
     costs no call of the store, however many such requests come.
     """
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/pause_recovery.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/pause_recovery.py
@@ -1,4 +1,4 @@
-"""Requests wait until a process that stood still may know again what has changed.
+"""After a pause of the process, requests wait until the view may be current again.
 
 What it knows of upstreams, evacuations and the configuration is as old as its
 standstill, and the requests that waited in the kernel meanwhile are read before any
@@ -18,7 +18,7 @@
 
 
 def is_behind(state, now):
-    """Return whether the view is too old because the process stood still.
+    """Return whether the view is too old because the process was paused.
 
     One that is too old without that, as the store is away, is not waited for: a crowded
     gateway stands still for moments all the time.
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -61,7 +61,7 @@
         )
         self.view_waits = self._histogram(
             "view_wait_seconds",
-            "How long requests waited for the view after the process stood still",
+            "How long requests waited for the view after a pause of the process",
             "",
         )
         self.inflight = self._gauge("inflight_requests", "Requests read, not answered")
--- a/packages/valeweir_gateway/src/valeweir_gateway/process_pauses.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/process_pauses.py
@@ -1,6 +1,6 @@
-"""For how long this process stood still: paused, or with no processor to run on.
+"""Detects pauses of this process (SIGSTOP, CPU starvation, suspend).
 
-Time that passes unnoticed makes others look late or away, who are not.
+A pause makes timers fire late, so peers and the store look unresponsive.
 """
 
 import collections
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
@@ -16,7 +16,7 @@
 # Seconds until a client may ask again where no trial is due before an operator's word.
 _LONG_RETRY = 60.0
 _MIN_RETRY = 0.2
-# Seconds after the end of an upstream in which a peer's word of it counts; it may be
+# Seconds after the end of an upstream in which a peer's notice of it counts; it may be
 # back later.
 _RECENT = 0.7
 # Characters of a path in a record.
@@ -112,7 +112,7 @@
     state.notices.append(Notice(ctx.fingerprint, None))
     if held:
         state.quarantine_store.forget(ctx.fingerprint)
-        state.log.note("request let go", why="answered", id=ctx.id, **_name(ctx))
+        state.log.note("request released", why="answered", id=ctx.id, **_name(ctx))
 
 
 def take_notice(state, notice, now):
@@ -135,7 +135,7 @@
         state.suspects.clear(fingerprint, now)
         state.quarantine_store.note_gone(fingerprint)
         if state.quarantine.remove(fingerprint):
-            state.log.note("request let go", why="record gone", fingerprint=text)
+            state.log.note("request released", why="record gone", fingerprint=text)
         return
     if state.quarantine.put(fingerprint, record, now, kept=True):
         state.log.note(
@@ -154,7 +154,7 @@
     state.notices.append(Notice(fingerprint, None))
     state.quarantine_store.forget(fingerprint)
     text = format_fingerprint(fingerprint)
-    state.log.note("request let go", why="operator", fingerprint=text)
+    state.log.note("request released", why="operator", fingerprint=text)
     return True
 
 
@@ -166,7 +166,7 @@
         state.quarantine.remove(fingerprint)
         state.quarantine_store.forget(fingerprint, observed=False)
         text = format_fingerprint(fingerprint)
-        state.log.note("request let go", why="time is over", fingerprint=text)
+        state.log.note("request released", why="time is over", fingerprint=text)
 
 
 def _set_aside(state, crash, now):
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crashes.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crashes.py
@@ -175,7 +175,7 @@
     """Add a crash in order of ends, unless it is one that is known."""
     for place, known in enumerate(rows):
         if is_same_end(known.instance, known.ended, crash):
-            # The word of the gateway that was quickest to tell is the closest one.
+            # The gateway that noticed first has the most accurate times.
             sent = max(known.sent, crash.sent)
             rows[place] = Crash(known.instance, sent, min(known.ended, crash.ended))
             break
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/fingerprints.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/fingerprints.py
@@ -1,4 +1,4 @@
-"""What makes two requests the same, whoever sends them again and to which gateway."""
+"""What makes two requests the same, across retries, gateways and request ids."""
 
 import hashlib
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/quarantine_store.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/quarantine_store.py
@@ -71,7 +71,7 @@
         self._schedule(fingerprint, observed)
 
     def forget(self, fingerprint, observed=True):
-        """Have the record of a request that was let go removed, as `keep` writes it."""
+        """Have the record of a released request removed, as `keep` writes it."""
         with self._changed:
             self._due.pop(fingerprint, None)
         self._schedule(fingerprint, observed)
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -30,7 +30,7 @@
     """A call under way.
 
     ``at`` is when it began, ``wait`` how long the store may keep it, in seconds, and
-    ``stalled`` for how long this process had stood still until then.
+    ``stalled`` for how long this process had been paused until then.
     """
 
     at: float
@@ -59,7 +59,7 @@
         Called with the time when the store answers after it was away, before
         what it answered is applied.
     get_stalled : callable
-        Returns for how many seconds this process has stood still so far.
+        Returns for how many seconds this process has been paused so far.
     wait_wanted : callable
         Called with ``stopped`` while not wanted; returns after a while at most.
     is_done : callable
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -132,9 +132,9 @@
             # The key was removed while nothing was heard.
             self._take(Entry(key, None, listing.end - 1))
         if listing.end > self.end:
-            # A listing does not tell what came and went since our end. Whoever knew
-            # it would keep it for good if told "this changed" without its removal,
-            # so those who are further behind get a listing too.
+            # A listing does not show keys that came and went since our end. A peer that
+            # knows such a key would keep it forever if it got changes without the
+            # removal, so peers that are further behind get a listing too.
             self._changes_from = listing.end
         self.end = listing.end
 
