--- a/packages/valeweir_gateway/src/valeweir_gateway/admission/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission/shares.py
@@ -1,11 +1,11 @@
 """How far each client account is in its fair share of what the fleet serves.
 
 Refusing at once keeps no order: the account that tries most often gets the next free
-place, however low its limit on waiting. So the tries of an account that asks for more than
-its share are thinned first, before engines are looked at, until what is left of them
-is its share (approximate fair dropping: Pan, Breslau, Prabhakar and Shenker, 2003).
-Each gateway draws by itself, and one that sees only a part of the fleet shares that
-part out.
+place, however low its limit on waiting. So the tries of an account that asks for more
+than its share are thinned first, before engines are looked at, until what is left of
+them is its share (approximate fair dropping: Pan, Breslau, Prabhakar and Shenker,
+2003). Each gateway draws by itself, and one that sees only a part of the fleet shares
+that part out.
 """
 
 import threading
