--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -15,7 +15,7 @@
 _SERIES_PAUSE = 0.2
 # Records before the newest one of a ranked key in which a higher one may stand: many
 # more than are written while a lost answer is waited for.
-_HISTORY_RECORDS = 64
+_HISTORY_RECORDS = 32
 # Characters of a key on a line of the log.
 _MAX_KEY = 120
 # Seconds beyond a call's own wait after which the store counts as having been
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
@@ -2,6 +2,8 @@
 
 import threading
 
+import xxhash
+
 from ..adapters import BadRecord
 from ..fleet.members import parse_member
 from ..quarantine import crash_attribution
@@ -13,6 +15,7 @@
 # may write there.
 _MAX_BAD = 1_000
 _MAX_TEXT = 120
+_MAX_VERSIONS = 256
 # The rank of a configuration that cannot be decoded.
 _UNREADABLE = -1
 
@@ -25,6 +28,8 @@
         self._adapter = adapter
         # Bytes and `catalog.Catalog` of the configuration decoded last.
         self._decoded = (None, None)
+        # Versions by the digest of a configuration's bytes.
+        self._versions = {}
         # Keys whose newest record cannot be used.
         self._bad = set()
         # The id of the life that a key of the instances topic stands for.
@@ -71,8 +76,17 @@
             return None
         if entry.value is None:
             return _UNREADABLE
+        # Known records are compared with each new one; decoding takes milliseconds.
+        digest = xxhash.xxh64_intdigest(entry.value)
+        if digest not in self._versions:
+            self._versions[digest] = self._read_version(entry.value)
+            while len(self._versions) > _MAX_VERSIONS:
+                del self._versions[next(iter(self._versions))]
+        return self._versions[digest]
+
+    def _read_version(self, value):
         try:
-            return self._decode_catalog(entry.value).version
+            return self._decode_catalog(value).version
         except BadRecord:
             return _UNREADABLE
 
