--- a/packages/valeweir_cli/src/valeweir_cli/losses.py
+++ b/packages/valeweir_cli/src/valeweir_cli/losses.py
@@ -106,11 +106,11 @@
 
 
 def _is_late(fields):
-    goal = fields.get("goal_ms")
+    latency_target = fields.get("latency_target_ms")
     sent, first = fields.get("first_sent_ms"), fields.get("first_ms")
-    if not goal or sent is None or first is None:
+    if not latency_target or sent is None or first is None:
         return False
-    return sent + first > goal
+    return sent + first > latency_target
 
 
 def _get_quantiles(times):
--- a/packages/valeweir_gateway/src/valeweir_gateway/admission/policy.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission/policy.py
@@ -4,8 +4,9 @@
 from .pressure import Level, get_intake_level
 from .shares import UNLIMITED, compute_pass_rate, describe_standing
 
-# Parts of the goal: for the whole wait, and for what is ahead of a long prompt.
-_GOAL_RATIO = 0.65
+# Parts of the latency target: for the whole wait, and for what is ahead of a long
+# prompt.
+_TARGET_RATIO = 0.65
 _AHEAD_RATIO = 0.2
 # Share of the latency target that work ahead takes at an engine that is crowded.
 _CROWDED_RATIO = 0.4
@@ -40,20 +41,20 @@
     """Return None to send, or the `Refusal`.
 
     A request goes out while its first event is expected well within the
-    route's goal, since half of the waits turn out longer than expected, and
+    route's latency target, since half of the waits turn out longer than expected, and
     earlier still where its account has had more than its share.
     """
-    goal = state.goals.note(ctx.service, ctx.route.goal, now)
+    target = state.latency_targets.note(ctx.service, ctx.route.latency_target, now)
     standing = get_standing(state, ctx, now)
     ctx.standing = standing
-    crowding = min(1.0, (choice.wait - choice.alone) / (_CROWDED_RATIO * goal))
+    crowding = min(1.0, (choice.wait - choice.alone) / (_CROWDED_RATIO * target))
     refusal = _thin(state, ctx, standing, crowding, now)
     if refusal is not None:
         return refusal
-    allowed = goal * standing.factor
-    # A prompt too long for its goal gains nothing by coming back; it goes out
+    allowed = target * standing.factor
+    # A prompt too long for its latency target gains nothing by coming back; it goes out
     # where little is ahead of it.
-    limit = max(_GOAL_RATIO * allowed, choice.alone + _AHEAD_RATIO * allowed)
+    limit = max(_TARGET_RATIO * allowed, choice.alone + _AHEAD_RATIO * allowed)
     if choice.wait <= limit:
         return None
     retry_after = limit_retry(ctx, max(_MIN_RETRY, choice.wait - limit / 2), now)
@@ -66,15 +67,15 @@
 
     Where no place is free, calls wait in the upstream's own queue, and with each one
     that will be late those behind it become late too. So it goes out to a free place,
-    or where what is left of its goal bears the wait.
+    or where what is left of its latency target bears the wait.
     """
     load = state.loads.get(choice.instance.id, now)
     if load.active + load.remote_active < choice.instance.slots:
         return None
-    limit = _get_goal_left(ctx, now)
+    limit = _get_target_left(ctx, now)
     if choice.wait <= limit:
         return None
-    retry_after = max(_MIN_CALL_RETRY, choice.wait - ctx.route.goal / 2)
+    retry_after = max(_MIN_CALL_RETRY, choice.wait - ctx.route.latency_target / 2)
     retry_after = limit_retry(ctx, retry_after, now)
     inputs = {
         "upstream": choice.instance.id,
@@ -87,9 +88,9 @@
     return Refusal(503, "calls-busy", retry_after=retry_after, inputs=inputs)
 
 
-def _get_goal_left(ctx, now):
-    """Return what is left of the goal, counted from the client's first try."""
-    return ctx.route.goal - ctx.spent - (now - ctx.arrived)
+def _get_target_left(ctx, now):
+    """Return what is left of the latency target since the client's first try."""
+    return ctx.route.latency_target - ctx.spent - (now - ctx.arrived)
 
 
 def _thin(state, ctx, standing, crowding, now):
@@ -115,10 +116,10 @@
     and a client that comes back reaches another one.
     """
     wait = state.intake.estimate_wait()
-    level = max(state.get_pressure(), get_intake_level(wait, ctx.route.goal))
+    level = max(state.get_pressure(), get_intake_level(wait, ctx.route.latency_target))
     if level is Level.NONE:
         return None
-    if is_returned(ctx) and wait <= _MAX_INTAKE_RATIO * ctx.route.goal:
+    if is_returned(ctx) and wait <= _MAX_INTAKE_RATIO * ctx.route.latency_target:
         return None
     if level is Level.HIGH and get_standing(state, ctx, now).factor >= 1.0:
         return None
--- a/packages/valeweir_gateway/src/valeweir_gateway/admission/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission/pressure.py
@@ -10,7 +10,7 @@
 _MEMORY = 0.2
 # Lags in seconds. One long stop, of the host or of a collection, is no queue. A request
 # takes some five turns of the loop to its upstream: at the second limit half a second
-# and most of its goal.
+# and most of its latency target.
 _MAX_COUNTED = 0.24
 _HIGH = 0.05
 _SEVERE = 0.1
@@ -19,7 +19,7 @@
 # Parts of the requests that may be under way.
 _HIGH_RATIO = 0.7
 _SEVERE_RATIO = 0.85
-# Parts of a request's goal that it may wait to be looked at.
+# Parts of a request's latency target that it may wait to be looked at.
 _HIGH_WAIT_RATIO = 0.1
 _SEVERE_WAIT_RATIO = 0.2
 # Clients that leave before they are read, within a window in seconds.
@@ -47,14 +47,14 @@
     return Level.NONE
 
 
-def get_intake_level(wait, goal):
+def get_intake_level(wait, latency_target):
     """Return the level of a gateway at which a request waits for its turn.
 
-    A client that is sent elsewhere at once has most of its goal left there.
+    A client that is sent elsewhere at once has most of its latency target left there.
     """
-    if wait > _SEVERE_WAIT_RATIO * goal:
+    if wait > _SEVERE_WAIT_RATIO * latency_target:
         return Level.SEVERE
-    if wait > _HIGH_WAIT_RATIO * goal:
+    if wait > _HIGH_WAIT_RATIO * latency_target:
         return Level.HIGH
     return Level.NONE
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -164,7 +164,7 @@
     """Return whether a failed safe request is worth another upstream."""
     if ctx.route.kind is not RouteKind.SAFE or ctx.sends >= ctx.route.max_attempts:
         return False
-    if ctx.deadline - state.clock() < ctx.route.goal / 4:
+    if ctx.deadline - state.clock() < ctx.route.latency_target / 4:
         return False
     return has_alternative(state, ctx, state.clock(), besides=instance)
 
@@ -174,7 +174,7 @@
     if ctx.route.kind is not RouteKind.SAFE or ctx.sends >= ctx.route.max_attempts:
         return None
     now = state.clock()
-    return now + min(ctx.route.goal, (ctx.deadline - now) / 2)
+    return now + min(ctx.route.latency_target, (ctx.deadline - now) / 2)
 
 
 def _prepare_call(state, ctx, choice):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/handler.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/handler.py
@@ -23,7 +23,7 @@
 
 _MIN_LEFT = 0.02
 _MAX_CONNECTS = 3
-# Part of the goal that a request may wait for others at an engine before more
+# Part of the latency target that a request may wait for others at an engine before more
 # engines are looked at.
 _PATIENCE_RATIO = 0.15
 
@@ -169,8 +169,8 @@
         zone = state.cfg.domain
         return choose_instance(rows, state.loads, zone, now, state.rng)
     engine = ctx.catalog.services[ctx.service].engine
-    patience = _PATIENCE_RATIO * ctx.route.goal
-    target = ctx.route.goal
+    patience = _PATIENCE_RATIO * ctx.route.latency_target
+    target = ctx.route.latency_target
     return choose_engine(ctx.prompt, rows, state.loads, now, engine, patience, target)
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/recording.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/recording.py
@@ -79,7 +79,7 @@
         unread=choice.tokens,
         ahead=work.ahead,
         running=work.running,
-        goal_ms=to_milliseconds(ctx.route.goal),
+        latency_target_ms=to_milliseconds(ctx.route.latency_target),
         first_sent_ms=_get_first_sent(ctx),
         first_ms=to_milliseconds(work.first or 0.0),
         out_ms=_get_out(ctx),
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -8,8 +8,8 @@
 from valeweir.timers import TimerService, get_lease_time
 
 from .admission.client_deadlines import Patience
-from .admission.goals import RecentGoals
 from .admission.intake import Intake
+from .admission.latency_targets import RecentTargets
 from .admission.pressure import (
     Overload,
     Pressure,
@@ -77,7 +77,7 @@
         self.loads = Loads()
         self.reads = Reads()
         self.intake = Intake(clock)
-        self.goals = RecentGoals()
+        self.latency_targets = RecentTargets()
         self.patience = Patience()
         self.pressure = Pressure(log)
         self.overload = Overload(log)
@@ -150,7 +150,7 @@
             return False
         now = self.clock()
         wait = self.intake.estimate_wait()
-        level = get_intake_level(wait, self.goals.get_least(now))
+        level = get_intake_level(wait, self.latency_targets.get_least(now))
         return not self.overload.check(max(level, self.get_pressure()), now)
 
     def note_store_heard(self, topic, as_of):
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
@@ -13,7 +13,7 @@
 _ACCEPTS_A_TURN = 16
 # Seconds until accepting is tried again where descriptors have run out.
 _ACCEPT_PAUSE = 0.1
-# And where as many as may be open are; little beside goals of 125 ms and more.
+# And where as many as may be open are; little beside latency targets.
 _FULL_PAUSE = 0.01
 # Parts of the connections that may be open: from the first on connections end
 # with their answer, from the second on the longest idle are closed.
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/catalog.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/catalog.py
@@ -31,13 +31,13 @@
     prefix: str
     kind: RouteKind
     timeout: float
-    goal: float
+    latency_target: float
     priority: int
     targets: tuple[Target, ...]
     max_attempts: int
     public: bool = False
     resumable: bool = False
-    gap_goal: float = 0.0
+    event_gap_target: float = 0.0
     regions: frozenset[str] = frozenset()
 
     @property
