--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/backoffs.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/backoffs.py
@@ -6,16 +6,18 @@
 a few at a time: all that were kept from it would make it shed again.
 """
 
+import threading
+
 # Seconds; longer pauses are cut to this, so that a faulty answer cannot take an
 # upstream out of use for good.
 MAX_BACKOFF_S = 600.0
 # After the pause the requests that may run there double with each step.
 _STEP_S = 0.2
 _STEPS = 6
-# A client that is told to come back does so at most so much later than it could, as a
-# ratio of the time until then and in seconds.
-_SPREAD_RATIO = 0.3
-_MIN_SPREAD_S = 0.2
+# Jitter of ``Retry-After``: a ratio of the time until the first pause ends, and seconds
+# that it has at least.
+_MAX_JITTER_RATIO = 0.3
+_MIN_JITTER_S = 0.2
 
 
 class Backoffs:
@@ -24,8 +26,10 @@
     def __init__(self):
         # When each pause ends, on the steady clock; kept until all may come back.
         self._ends = {}
-        # Those whose end was not told yet.
-        self._untold = set()
+        # Those whose end was not reported yet.
+        self._unreported = set()
+        # Answers come on the event loop; a timer and the store's readers forget pauses.
+        self._lock = threading.Lock()
 
     def __bool__(self):
         return bool(self._ends)
@@ -36,9 +40,10 @@
         A later, shorter one does not shorten one that is in force.
         """
         end = now + min(seconds, MAX_BACKOFF_S)
-        is_new = not self.is_active(instance_id, now)
-        self._ends[instance_id] = max(end, self.get_end(instance_id))
-        self._untold.add(instance_id)
+        with self._lock:
+            is_new = not self.is_active(instance_id, now)
+            self._ends[instance_id] = max(end, self.get_end(instance_id))
+            self._unreported.add(instance_id)
         return is_new
 
     def is_active(self, instance_id, now):
@@ -60,12 +65,11 @@
     def compute_return(self, instance_ids, now, rng):
         """Return the seconds after which a client may come back to one of these.
 
-        True, as the first of them takes something then, and spread, so that not all
-        come back at that moment.
+        The first pause is over then; jitter keeps clients from returning all at once.
         """
         ends = [self.get_end(instance_id) for instance_id in instance_ids]
         wait = max(0.0, min(ends, default=now) - now)
-        return wait + rng.uniform(0.0, max(_MIN_SPREAD_S, _SPREAD_RATIO * wait))
+        return wait + rng.uniform(0.0, max(_MIN_JITTER_S, _MAX_JITTER_RATIO * wait))
 
     def count_active(self, now):
         """Return how many instances are paused."""
@@ -73,17 +77,19 @@
 
     def take_ended(self, now):
         """Return the ids of instances whose pause is over, each once."""
-        ended = [name for name in list(self._untold) if now >= self.get_end(name)]
-        self._untold.difference_update(ended)
-        for name, end in list(self._ends.items()):
-            if compute_window(now - end) is None:
-                self.forget(name)
+        with self._lock:
+            ended = [name for name in self._unreported if now >= self.get_end(name)]
+            self._unreported.difference_update(ended)
+            for name, end in list(self._ends.items()):
+                if compute_window(now - end) is None:
+                    del self._ends[name]
         return ended
 
     def forget(self, instance_id):
         """Drop what is known of an instance that is gone."""
-        self._ends.pop(instance_id, None)
-        self._untold.discard(instance_id)
+        with self._lock:
+            self._ends.pop(instance_id, None)
+            self._unreported.discard(instance_id)
 
 
 def compute_window(since_end):
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/directory.py
@@ -68,7 +68,7 @@
         # Lives that said outside their record that they leave, and from where it is
         # known. A life that leaves never comes back, whatever its record still says.
         self._leaving = {}
-        # Rises when peers should be told of another one.
+        # Rises with each life that peers have to learn of.
         self.leaving_version = 0
         # Records come from the store's readers, answers on the event loop.
         self._lock = threading.Lock()
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -177,7 +177,7 @@
         if self._unapplied.get(entry.key) is known:
             self._unapplied[entry.key] = moved
         else:
-            # It tells what it does not change.
+            # Applying it changes nothing and logs why.
             self._try_to_apply(entry)
 
     def _try_to_apply(self, entry):
--- a/packages/valeweir_gateway/tests/test_backoffs.py
+++ b/packages/valeweir_gateway/tests/test_backoffs.py
@@ -1,5 +1,7 @@
 import random
+import threading
 import unittest
+from concurrent.futures import ThreadPoolExecutor
 
 from valeweir_gateway.placement.backoffs import MAX_BACKOFF_S, Backoffs, compute_window
 
@@ -88,6 +90,23 @@
         self.backoffs.take_ended(NOW + 10.0)
         self.assertFalse(self.backoffs)
 
+    def test_a_pause_asked_for_as_the_last_one_is_forgotten(self):
+        """A timer forgets old pauses in a thread of its own."""
+        stopped = threading.Event()
+
+        def forget():
+            while not stopped.is_set():
+                self.backoffs.take_ended(NOW + 10.0)
+
+        with ThreadPoolExecutor(1) as pool:
+            forgetting = pool.submit(forget)
+            for number in range(2_000):
+                self.backoffs.add(f"i{number}", 3.0, NOW)
+                self.backoffs.add(f"i{number}", 60.0, NOW)
+            stopped.set()
+            forgetting.result()
+        self.assertEqual(self.backoffs.count_active(NOW + 10.0), 2_000)
+
     def test_clients_do_not_come_back_in_one_moment(self):
         self.backoffs.add("i", 3.0, NOW)
         self.backoffs.add("j", 9.0, NOW)
