--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/candidates.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/candidates.py
@@ -57,8 +57,7 @@
 
     None where some instance takes work now, or none is there.
     """
-    rows = _keep_permitted(state, ctx, state.directory.get_ready(ctx.service))
-    rows = _drop_evacuated(state, rows)
+    rows = _find_allowed(state, ctx)
     if not rows or _keep_open(state, rows, now):
         return None
     return state.backoffs.compute_return([row.id for row in rows], now, state.rng)
@@ -66,8 +65,7 @@
 
 def has_alternative(state, ctx, now, besides=None):
     """Return whether an instance ``besides`` one and those tried takes work now."""
-    rows = _keep_permitted(state, ctx, state.directory.get_ready(ctx.service))
-    rows = _drop_evacuated(state, rows)
+    rows = _find_allowed(state, ctx)
     untried = [row for row in rows if row.id not in ctx.excluded and row != besides]
     return bool(_keep_open(state, untried, now))
 
@@ -88,6 +86,12 @@
     return own & account.regions if own else account.regions
 
 
+def _find_allowed(state, ctx):
+    """Return the ready instances in allowed regions and domains that are in use."""
+    rows = _keep_permitted(state, ctx, state.directory.get_ready(ctx.service))
+    return _drop_evacuated(state, rows)
+
+
 def _keep_permitted(state, ctx, rows):
     allowed = get_allowed_regions(ctx.route, ctx.account)
     if allowed is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/directory.py
@@ -68,6 +68,8 @@
         # Lives that said outside their record that they leave, and from where it is
         # known. A life that leaves never comes back, whatever its record still says.
         self._leaving = {}
+        # Those of them whose record still says ready, None where it has to be found.
+        self._unrecorded = None
         # Rises with each life that peers have to learn of.
         self.leaving_version = 0
         # Records come from the store's readers, answers on the event loop.
@@ -76,6 +78,7 @@
     def put(self, instance, noted=None):
         """Add or replace an instance, ``noted`` by a record."""
         with self._lock:
+            self._unrecorded = None
             self._noted[instance.id] = noted
             old = self.by_id.get(instance.id)
             self.by_id[instance.id] = instance
@@ -87,6 +90,7 @@
     def remove(self, instance_id):
         """Forget an instance; return it, or None if it was not known."""
         with self._lock:
+            self._unrecorded = None
             self._noted.pop(instance_id, None)
             old = self.by_id.pop(instance_id, None)
             if old is not None:
@@ -99,6 +103,7 @@
         with self._lock:
             if instance_id in self._leaving:
                 return False
+            self._unrecorded = None
             self._leaving[instance_id] = source
             self.leaving_version += 1
             while len(self._leaving) > _MAX_LEAVING:
@@ -111,12 +116,17 @@
     def get_leaving(self):
         """Return the source by id of the lives whose record still says ready."""
         with self._lock:
-            rows = {name: self.by_id.get(name) for name in self._leaving}
-            return {
-                name: self._leaving[name]
-                for name, row in rows.items()
-                if row is not None and row.ready
-            }
+            if self._unrecorded is None:
+                self._unrecorded = self._find_unrecorded()
+            return self._unrecorded
+
+    def _find_unrecorded(self):
+        rows = {name: self.by_id.get(name) for name in self._leaving}
+        return {
+            name: self._leaving[name]
+            for name, row in rows.items()
+            if row is not None and row.ready
+        }
 
     def count_leaving(self):
         """Return how many instances leave by their record."""
