--- a/packages/valeweir_gateway/src/valeweir_gateway/view/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/directory.py
@@ -78,29 +78,39 @@
         # loop.
         self._lock = threading.Lock()
 
-    def put(self, instance, record=None):
-        """Add or replace an instance; ``record`` is where its record was read."""
+    def put(self, instance, record=None, replaced_id=None):
+        """Add or replace an instance; ``record`` is where its record was read.
+
+        The instance with the id ``replaced_id``, if any, is removed in the same step,
+        so that readers on other threads see one of the two at any time.
+        """
         with self._lock:
             self._unrecorded_leaving = None
+            removed = [self._pop(replaced_id), self.by_id.get(instance.id)]
             self._records[instance.id] = record
-            old = self.by_id.get(instance.id)
             self.by_id[instance.id] = instance
             self._by_digest[get_digest(instance.id)] = instance.id
-            self._update_ready_index(instance.service)
-            if old is not None and old.service != instance.service:
-                self._update_ready_index(old.service)
+            services = {row.service for row in removed if row is not None}
+            for service in services | {instance.service}:
+                self._update_ready_index(service)
 
     def remove(self, instance_id):
         """Remove an instance; return it, or None if it was not present."""
         with self._lock:
             self._unrecorded_leaving = None
-            self._records.pop(instance_id, None)
-            old = self.by_id.pop(instance_id, None)
+            old = self._pop(instance_id)
             if old is not None:
-                self._by_digest.pop(get_digest(instance_id), None)
                 self._update_ready_index(old.service)
         return old
 
+    def _pop(self, instance_id):
+        """Remove an instance from all tables but the index of the ready ones."""
+        self._records.pop(instance_id, None)
+        old = self.by_id.pop(instance_id, None)
+        if old is not None:
+            self._by_digest.pop(get_digest(instance_id), None)
+        return old
+
     def mark_leaving(self, instance_id, source):
         """Mark an incarnation as leaving; return whether it was not known to leave."""
         with self._lock:
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
@@ -217,14 +217,14 @@
                 known_sequence=earlier.sequence,
             )
             return
+        replaced = None
         if earlier is not None and earlier.id != instance.id:
-            # The new incarnation has no caches or requests of the earlier one.
+            replaced = earlier
             state.lapsed_records.stop_retaining(earlier.id)
-            self._remove_instance(earlier, entry.offset, "upstream restarted")
-        self._ids_by_key[entry.key] = instance.id
         old = state.directory.by_id.get(instance.id)
         was_retained = state.lapsed_records.stop_retaining(instance.id)
-        if _is_unchanged(old, instance) and not was_retained:
+        if _is_unchanged(old, instance) and not was_retained and replaced is None:
+            self._ids_by_key[entry.key] = instance.id
             return
         # Before the instance is in the directory and can get requests.
         now = state.clock()
@@ -232,7 +232,14 @@
             self._start_warm_up(instance, instance.warming, "record", now)
         elif state.slow_start.forget(instance.id):
             state.log.note("upstream warm", upstream=instance.id, offset=entry.offset)
-        state.directory.put(instance, RecordPosition(entry.offset, now))
+        position = RecordPosition(entry.offset, now)
+        # In one step: removing the earlier incarnation first would leave its service
+        # without an upstream for a moment.
+        state.directory.put(instance, position, replaced.id if replaced else None)
+        if replaced is not None:
+            # The new incarnation has no caches or requests of the earlier one.
+            self._discard_state(replaced, entry.offset, "upstream restarted")
+        self._ids_by_key[entry.key] = instance.id
         if was_retained or old is None or old.ready != instance.ready:
             state.log.note(
                 "upstream ready" if instance.ready else "upstream leaving",
