--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -197,15 +197,19 @@
                 await server.start()
 
     async def _close_servers(self):
-        for server in (
+        servers = (
             self._ready_server,
             self._client_server,
             self._fleet_server,
             self._metrics_server,
-        ):
-            if server is not None:
-                server.close()
+        )
+        servers = [server for server in servers if server is not None]
+        for server in servers:
+            server.close()
         self._fleet.close(self._loop)
+        # The event loop stops next and would drop the tasks that still serve requests.
+        for server in servers:
+            await server.wait_closed()
 
     def _wait(self, deadline, is_done):
         while self.state.clock() < deadline and not is_done():
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
@@ -24,6 +24,8 @@
 _MAX_READY_RATIO = 0.95
 # Interval between checks for idle connections and incomplete requests.
 _CHECK_INTERVAL_S = 0.25
+# Time for the tasks of closed connections to end before they are cancelled.
+_CLOSE_TIMEOUT_S = 0.1
 
 
 class Server:
@@ -80,6 +82,18 @@
         for conn in list(self._connections):
             conn.close()
 
+    async def wait_closed(self):
+        """Wait until every connection's task has ended; call `close` first.
+
+        A task that does not end soon after its connection is closed is cancelled.
+        """
+        for timeout in (_CLOSE_TIMEOUT_S, None):
+            if not self._tasks:
+                return
+            _, pending = await asyncio.wait(self._tasks, timeout=timeout)
+            for task in pending:
+                task.cancel()
+
     def add(self, conn):
         """Add a new connection and schedule the timeout checks."""
         self._connections.add(conn)
--- a/packages/valeweir_gateway/tests/test_servers.py
+++ b/packages/valeweir_gateway/tests/test_servers.py
@@ -32,6 +32,7 @@
 
     async def close(self):
         self.server.close()
+        await self.server.wait_closed()
 
     def run_coroutine(self, coroutine):
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(5.0)
@@ -300,6 +301,20 @@
         self.assertGreater(size, 400 * 65_536)
 
 
+class TestClose(ServerCase):
+    async def handle(self, request, reply):
+        await asyncio.sleep(30.0)
+
+    def test_tasks_of_served_requests_end(self):
+        """A stopped event loop would drop the tasks that were still waiting."""
+        for name in (b"a", b"b"):
+            self.connect().sendall(GET % name)
+        self.connect()
+        self.assertTrue(self.wait_until(lambda: len(self.server) == 3))
+        self.run_coroutine(self.close())
+        self.assertEqual(asyncio.all_tasks(self.loop), set())
+
+
 class TestIntake(unittest.TestCase):
     def test_requests_enter_in_order_and_few_per_iteration(self):
         entered = []
