--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/loads.py
@@ -258,6 +258,13 @@
         load = self.get(instance_id, now)
         load.ejected_until = min(load.ejected_until, now)
 
+    def clear_ejection(self, instance_id, now):
+        """Make an instance usable without a probe."""
+        load = self.get(instance_id, now)
+        load.ejected_until = 0.0
+        load.probing = False
+        load.next_ejection = INITIAL_EJECTION_S
+
     def mark_replaced(self, instance_id, now):
         """Eject an instance whose address now belongs to another instance."""
         load = self.get(instance_id, now)
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/peer_failures.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/peer_failures.py
@@ -74,6 +74,8 @@
         self._reported_at = {}
         # Whether this gateway probes after the ejection, by id of excluded instance.
         self._probes = {}
+        # End of the last ejection made here, by id of excluded instance.
+        self._ejected_until = {}
 
     def __len__(self):
         """Return the number of instances that are excluded because of peers."""
@@ -114,8 +116,8 @@
         released = [name for name in list(self._probes) if name not in excluded]
         for name in released:
             self._probes.pop(name, None)
-            if name not in self._refused_at:
-                self._loads.end_ejection(name, now)
+            self._release(name, now)
+            self._ejected_until.pop(name, None)
         added = {k: row for k, row in excluded.items() if k not in self._probes}
         for name, (ejected, _) in excluded.items():
             self._extend_ejection(name, compute_probe_ratio(ejected, gateways), now)
@@ -123,7 +125,12 @@
 
     def forget(self, instance_id):
         """Remove an instance that no longer exists."""
-        for table in (self._refused_at, self._reported_at, self._probes):
+        for table in (
+            self._refused_at,
+            self._reported_at,
+            self._probes,
+            self._ejected_until,
+        ):
             table.pop(instance_id, None)
 
     def _extend_ejection(self, instance_id, probe_ratio, now):
@@ -134,8 +141,28 @@
             self._probes.setdefault(instance_id, False)
             return
         self._loads.eject(instance_id, now)
+        self._ejected_until[instance_id] = load.ejected_until
         self._probes[instance_id] = self._rng.random() < probe_ratio
 
+    def _release(self, instance_id, now):
+        """End an ejection made here of an instance that peers no longer exclude."""
+        if not self._is_ejected_here(instance_id, now):
+            return
+        since = self._reported_at.get(instance_id, now)
+        if self._has_answered(instance_id, since, now):
+            # If the answer to the probe is a stream, its end may be far off.
+            self._loads.clear_ejection(instance_id, now)
+        elif instance_id not in self._refused_at:
+            self._loads.end_ejection(instance_id, now)
+
+    def _is_ejected_here(self, instance_id, now):
+        """Return whether the ejection in force follows from the reports of peers.
+
+        One because of time-outs or a replaced instance ends by its own rules.
+        """
+        end = self._loads.get(instance_id, now).ejected_until
+        return end > 0.0 and end == self._ejected_until.get(instance_id)
+
     def _has_answered(self, instance_id, since, now):
         """Return whether a response head has arrived here since a time."""
         at = self._loads.get(instance_id, now).responded_at
--- a/packages/valeweir_gateway/tests/test_peer_failures.py
+++ b/packages/valeweir_gateway/tests/test_peer_failures.py
@@ -39,6 +39,26 @@
         self.assertEqual(failures.apply({"i0": (2, 0)}, 60, NOW + 0.2).released, ["i0"])
         self.assertTrue(loads.is_usable("i0", NOW + 0.2))
 
+    def test_answered_stream_ends_the_ejection(self):
+        """Guards against a returned upstream that gets one stream per gateway."""
+        loads = Loads()
+        failures = PeerFailures(loads, random.Random(1))
+        failures.apply({"i0": (2, 0)}, 2, NOW)
+        loads.start("i0", 0, NOW + 1.0)
+        self.assertFalse(loads.is_usable("i0", NOW + 1.1))
+        loads.record_response_head("i0", NOW + 1.1)
+        failures.apply({"i0": (2, 0)}, 2, NOW + 1.2)
+        self.assertTrue(loads.is_usable("i0", NOW + 1.2))
+
+    def test_other_ejections_stay(self):
+        """Guards against the early use of a replaced upstream."""
+        loads = Loads()
+        failures = PeerFailures(loads, random.Random(1))
+        loads.mark_replaced("i0", NOW)
+        failures.apply({"i0": (2, 0)}, 60, NOW + 0.1)
+        self.assertEqual(failures.apply({}, 60, NOW + 0.2).released, ["i0"])
+        self.assertFalse(loads.is_usable("i0", NOW + 7.9))
+
 
 class _Fleet(Wire):
     def __init__(self, reports_failures=True):
