--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/reporter.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/reporter.py
@@ -12,7 +12,8 @@
 # More than this many instances leave at once only if a whole service does; for the
 # rest, the records in the store show it once the store is reachable again.
 _MAX_LEAVING = 32
-# Leaves room for the loads: at 8 bytes per row, 256 of the 1,400 bytes of a datagram.
+# Leaves room for the loads: a row takes 8 bytes, or up to 12 in the sums of relays, and
+# a datagram has 1,400.
 _MAX_FAILURES = 32
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/reports.py
@@ -17,7 +17,7 @@
 _KEPT_RATIO = 0.75
 # An instance that is left out looks idle; an account that is left out looks starved,
 # which is worse. The least loaded instances are therefore left out first, down to this
-# number.
+# number. Failures follow, since each gateway also detects them itself.
 _MIN_LOADS = 40
 
 
@@ -122,6 +122,9 @@
         if len(report.loads) > _MIN_LOADS:
             loads = _drop_smallest(report.loads)
             report = msgspec.structs.replace(report, loads=loads)
+        elif report.failures:
+            failures = _drop_smallest(report.failures)
+            report = msgspec.structs.replace(report, failures=failures)
         else:
             usage = _drop_smallest(report.usage)
             report = msgspec.structs.replace(report, usage=usage)
--- a/packages/valeweir_gateway/tests/test_fleet.py
+++ b/packages/valeweir_gateway/tests/test_fleet.py
@@ -88,6 +88,18 @@
         self.assertEqual(report.usage, usage)
         self.assertGreater(len(report.loads), 30)
 
+    def test_failures_are_left_out_before_accounts(self):
+        """Guards against accounts that look starved while many upstreams fail."""
+        loads = {2**31 + n: (99_999, 300) for n in range(40)}
+        usage = {2**31 + n: (9_999_999, 9_999_999) for n in range(40)}
+        failures = {2**31 + n: (300 - n, 300) for n in range(32)}
+        (data,) = encode_report(
+            make_report(loads=loads, usage=usage, failures=failures)
+        )
+        report = decode_report(data)
+        self.assertEqual(report.usage, usage)
+        self.assertIn(2**31, report.failures)
+
 
 class TestMembers(unittest.TestCase):
     def setUp(self):
