--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -61,7 +61,8 @@
         _record_first_send(state, ctx, now)
     ctx.sends += 1
     record_view_at_send(state, ctx, instance.id, now)
-    work = state.loads.start(instance.id, choice.tokens, now)
+    body_bytes = len(ctx.request.body)
+    work = state.loads.start(instance.id, choice.tokens, now, body_bytes)
     if ctx.prompt is not None:
         _record_prompt_parts(state, ctx, choice, now)
     try:
@@ -139,6 +140,7 @@
     head = await exchange.read(_get_attempt_deadline(state, ctx))
     if isinstance(head, Failure):
         return head
+    state.loads.release_body(work)
     if not isinstance(head, Head):
         return Failure(Fault.AMBIGUOUS, "response without a head")
     if state.names.not_run.lower() in head.headers or head.status == MISDIRECTED_STATUS:
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -246,6 +246,8 @@
         gauges.share_level.set(state.shares.get_share_level())
         if state.catalog:
             gauges.declared.set(state.catalog.limits.tokens_per_second)
+        gauges.buffered_bytes.set(state.write_buffers.total)
+        gauges.waiting_body_bytes.set(state.loads.waiting_body_bytes)
         gauges.left_out.set(state.log.left_out)
         gauges.bad_records.set(state.bad_records)
         gauges.bad_keys.set(state.bad_keys)
@@ -275,6 +277,7 @@
         create_handler(state),
         on_rejection=record_malformed,
         prepare_socket=prepare_socket,
+        write_buffers=state.write_buffers,
     )
     clients.max_connections = cfg.descriptors.max_clients
     ready = create_server(
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -52,6 +52,21 @@
             "Dropped client headers that only the fleet may set, by name",
             "name",
         )
+        self.buffer_bounds = self._counter(
+            "response_buffer_full",
+            "Streams whose upstream was left unread for a slow client, by bound",
+            "bound",
+        )
+        self.slow_clients_aborted = self._counter(
+            "slow_clients_aborted",
+            "Connections aborted because the client had not read its stream in time",
+            "",
+        )
+        self.bodies_full = self._counter(
+            "upstream_bodies_full",
+            "Times that an upstream reached the bound on waiting request bodies",
+            "",
+        )
         self.request_seconds = self._histogram(
             "request_seconds",
             "Time from the request to the end of its response",
@@ -129,6 +144,13 @@
             "declared_tokens_per_second",
             "Token throughput of the upstreams as configured",
         )
+        self.buffered_bytes = self._gauge(
+            "response_buffer_bytes", "Unsent response bytes of slow clients"
+        )
+        self.waiting_body_bytes = self._gauge(
+            "waiting_body_bytes",
+            "Bytes of request bodies at upstreams without a response head",
+        )
         self.left_out = self._gauge("log_lines_left_out", "Log lines dropped")
         self.bad_records = self._gauge(
             "bad_records", "Store records that cannot be decoded"
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/candidates.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/candidates.py
@@ -27,6 +27,9 @@
     all_ready, ready = ready, _drop_backing_off(state, ready, now)
     if all_ready and not ready:
         return _refuse_backing_off(state, all_ready, now)
+    all_ready, ready = ready, _drop_body_full(state, ctx, ready, now)
+    if all_ready and not ready:
+        return _refuse_body(state, ctx, all_ready, now)
     instances = _drop_without_permit(state, ctx, _keep_usable(state, ready, now), now)
     if not instances and not ready:
         return Refusal(503, "no-upstream", retry_after=BUSY_RETRY_AFTER_S)
@@ -49,6 +52,8 @@
         return "evacuated"
     if not _may_send(state, instance, now):
         return "backoff"
+    if not _drop_body_full(state, ctx, [instance], now):
+        return "bodies"
     if ctx.permit == instance.id or not _needs_permit(state, ctx, instance, now):
         return None
     if state.slow_start.use_permit(instance.id, _get_warm_rate(ctx), now):
@@ -80,7 +85,8 @@
         for instance in instances
         if instance.id not in ctx.excluded and instance != other_than
     ]
-    return bool(_drop_backing_off(state, untried, now))
+    accepting = _drop_backing_off(state, untried, now)
+    return bool(_drop_body_full(state, ctx, accepting, now))
 
 
 def take_permit(state, ctx, instance, now):
@@ -136,6 +142,44 @@
     return [instance for instance in instances if _may_send(state, instance, now)]
 
 
+def _drop_body_full(state, ctx, instances, now):
+    """Exclude instances where too many bytes of request bodies wait already."""
+    if not state.loads.waiting_body_bytes:
+        return instances
+    size = len(ctx.request.body)
+    limit = state.cfg.upstreams.max_waiting_body_bytes
+    accepting = []
+    for instance in instances:
+        load = state.loads.get(instance.id, now)
+        if may_add_body(size, load.waiting_body_bytes, limit):
+            accepting.append(instance)
+        elif not load.is_body_full:
+            load.is_body_full = True
+            _record_body_full(state, ctx, instance, load, limit)
+    return accepting
+
+
+def may_add_body(size, waiting, limit):
+    """Return whether a body of ``size`` bytes may be sent where ``waiting`` bytes wait.
+
+    A body larger than ``limit`` is sent where none waits, as it could never be sent
+    otherwise.
+    """
+    return size == 0 or waiting == 0 or waiting + size <= limit
+
+
+def _record_body_full(state, ctx, instance, load, limit):
+    state.metrics.bodies_full.inc()
+    state.log.note(
+        "upstream bodies full",
+        id=ctx.id,
+        upstream=instance.id,
+        body_bytes=len(ctx.request.body),
+        waiting_bytes=load.waiting_body_bytes,
+        limit_bytes=limit,
+    )
+
+
 def _keep_usable(state, ready, now):
     usable = state.loads.pick_usable(ready, now)
     unreachable = state.domains.get_unreachable(
@@ -184,6 +228,18 @@
     return Refusal(503, "upstreams-backing-off", retry_after=wait, inputs=inputs)
 
 
+def _refuse_body(state, ctx, instances, now):
+    """Return the `Refusal` for a body that no instance accepts at present."""
+    loads = [state.loads.get(instance.id, now) for instance in instances]
+    inputs = {
+        "body_bytes": len(ctx.request.body),
+        "least_waiting_bytes": min(load.waiting_body_bytes for load in loads),
+        "limit_bytes": state.cfg.upstreams.max_waiting_body_bytes,
+    }
+    retry_after = limit_retry_after(ctx, BUSY_RETRY_AFTER_S, now)
+    return Refusal(503, "bodies-busy", retry_after=retry_after, inputs=inputs)
+
+
 def _refuse_warming(state, ctx, instances, now):
     """Return the `Refusal` for a request whose instances are all warming up."""
     ends = [state.slow_start.get_end(instance.id) for instance in instances]
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/instance_loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/instance_loads.py
@@ -7,6 +7,10 @@
 class InstanceLoad:
     """Load and health of one instance.
 
+    ``waiting_body_bytes`` counts the bytes of this gateway's request bodies that are
+    being sent or were sent and have no response head yet; ``is_body_full`` is true from
+    when they kept a request away until the next head.
+
     ``unread`` and ``remote_unread`` count the prompt tokens that the instance has not
     read yet, ``active`` and ``remote_active`` the requests in flight there, from this
     gateway and from its peers. ``slowness`` is the factor by which the instance reads
@@ -19,6 +23,7 @@
         "call_time",
         "ejected_until",
         "errors",
+        "is_body_full",
         "last_activity",
         "next_ejection",
         "probing",
@@ -26,9 +31,12 @@
         "remote_unread",
         "slowness",
         "unread",
+        "waiting_body_bytes",
     )
 
     def __init__(self, now):
+        self.waiting_body_bytes = 0
+        self.is_body_full = False
         self.unread = 0
         self.remote_unread = 0
         self.active = 0
@@ -50,11 +58,13 @@
 
     ``ahead`` is the number of unread tokens and ``running`` the number of requests that
     were at the instance before it; ``sent`` is the time of sending and ``first_data_s``
-    the seconds until the first data of the response.
+    the seconds until the first data of the response. ``body_bytes`` is the size of the
+    request's body until the head of the response has arrived, then 0.
     """
 
     __slots__ = (
         "ahead",
+        "body_bytes",
         "first_data_s",
         "instance_id",
         "is_prompt_read",
@@ -63,7 +73,8 @@
         "tokens",
     )
 
-    def __init__(self, instance_id, tokens, ahead, running, sent):
+    def __init__(self, instance_id, tokens, ahead, running, sent, body_bytes=0):
+        self.body_bytes = body_bytes
         self.instance_id = instance_id
         self.tokens = tokens
         self.ahead = ahead
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/loads.py
@@ -46,6 +46,8 @@
         self._listed_ids = set()
         # Increases whenever the load from this gateway's own requests changes.
         self.version = 0
+        # Sum of ``waiting_body_bytes`` over all instances.
+        self.waiting_body_bytes = 0
         self.rate = _INITIAL_RATE_TOKENS_PER_S
         self.base = _INITIAL_BASE_S
         self.call_time = _INITIAL_CALL_TIME_S
@@ -61,7 +63,9 @@
         """Remove an instance that no longer exists."""
         with self._lock:
             self.version += 1
-            self._by_id.pop(instance_id, None)
+            load = self._by_id.pop(instance_id, None)
+            if load is not None:
+                self.waiting_body_bytes -= load.waiting_body_bytes
             self._listed_ids.discard(instance_id)
             for holders in self._holders_by_digest.values():
                 holders.pop(instance_id, None)
@@ -171,8 +175,8 @@
             mean = self.call_time if load.call_time is None else load.call_time
             load.call_time = mean + _CALL_TIME_EWMA_ALPHA * (service_time - mean)
 
-    def start(self, instance_id, tokens, now):
-        """Record that a request was sent; return its `Work`."""
+    def start(self, instance_id, tokens, now, body_bytes=0):
+        """Record that a request is sent; return its `Work`."""
         with self._lock:
             load = self.get(instance_id, now)
             if load.active == 0:
@@ -181,10 +185,18 @@
             running = load.active + load.remote_active
             load.unread += tokens
             load.active += 1
+            load.waiting_body_bytes += body_bytes
+            self.waiting_body_bytes += body_bytes
             self.version += 1
             if load.ejected_until and now >= load.ejected_until:
                 load.probing = True
-            return Work(instance_id, tokens, ahead, running, now)
+            return Work(instance_id, tokens, ahead, running, now, body_bytes)
+
+    def release_body(self, work):
+        """Record that a request's body no longer waits at the instance."""
+        if work.body_bytes:
+            with self._lock:
+                self._release_body(work, self._by_id.get(work.instance_id))
 
     def record_response_head(self, instance_id, now):
         """Record that the head of a response has arrived."""
@@ -210,6 +222,7 @@
             if load is None:
                 # The instance was removed meanwhile.
                 return
+            self._release_body(work, load)
             load.active = max(0, load.active - 1)
             self.version += 1
             if not work.is_prompt_read:
@@ -300,6 +313,15 @@
                 load = self.get(instance_id, now)
                 load.remote_unread, load.remote_active = totals[instance_id]
 
+    def _release_body(self, work, load):
+        # After the removal of an instance a new one may have started under its id.
+        size = min(work.body_bytes, load.waiting_body_bytes if load else 0)
+        work.body_bytes = 0
+        if size:
+            load.waiting_body_bytes -= size
+            load.is_body_full = False
+            self.waiting_body_bytes -= size
+
     def _mark_prompt_read(self, work, load):
         work.is_prompt_read = True
         self.version += 1
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -6,10 +6,20 @@
 from valeweir.exceptions import SettingsError
 
 from .fleet.members import MESH_LIMIT
+from .transport.write_buffers import BufferBounds
 
 # Memory of an idle gateway, and of each active request.
 _BASE_MEMORY_MB = 80.0
 _REQUEST_MEMORY_MB = 0.1
+# Part of the memory not used by active requests that may hold unsent bytes of streams.
+# The rest is left for request bodies and complete responses, which vary in size.
+_BUFFER_RATIO = 0.5
+# A stream may hold this part of the bytes for all streams, within these limits. The
+# lower one is the size of one read from its upstream.
+_STREAM_BUFFER_RATIO = 0.01
+_MIN_STREAM_BUFFER_BYTES = 64 << 10
+_MAX_STREAM_BUFFER_BYTES = 1 << 20
+_BYTES_PER_MB = 1_000_000
 # Descriptors of files, listening sockets and connections to the store, as counted by
 # the platform. The rest is divided between client connections and active requests, each
 # of which takes one descriptor in addition to that of its client connection.
@@ -79,10 +89,18 @@
     """Rules on upstreams.
 
     ``leave_within_ms`` is the time in milliseconds after which a leaving
-    upstream must get no new requests.
+    upstream must get no new requests. ``max_waiting_body_mb`` bounds the megabytes of
+    request bodies that this gateway is sending or has sent to one upstream and that
+    have no response head yet; a larger body is sent only where no other waits.
     """
 
     leave_within_ms: float = 2000.0
+    max_waiting_body_mb: float = 64.0
+
+    @property
+    def max_waiting_body_bytes(self):
+        """Return the bound on the waiting request bodies at one upstream in bytes."""
+        return int(self.max_waiting_body_mb * _BYTES_PER_MB)
 
 
 class SlowStart(msgspec.Struct, frozen=True):
@@ -168,9 +186,26 @@
     @property
     def max_inflight(self):
         """Return the maximum number of active requests."""
-        by_memory = (self.memory.limit_mb - _BASE_MEMORY_MB) / _REQUEST_MEMORY_MB
+        return self.compute_max_inflight(0)
+
+    def compute_max_inflight(self, buffered_bytes):
+        """Return the maximum number of active requests beside unsent response bytes."""
+        free_mb = self.memory.limit_mb - _BASE_MEMORY_MB
+        by_memory = (free_mb - buffered_bytes / _BYTES_PER_MB) / _REQUEST_MEMORY_MB
         return int(min(_MAX_INFLIGHT_COUNT, max(_MIN_INFLIGHT_COUNT, by_memory)))
 
+    def compute_buffer_bounds(self, inflight):
+        """Return the `BufferBounds` for unsent bytes beside ``inflight`` requests."""
+        free_mb = max(0.0, self.memory.limit_mb - _BASE_MEMORY_MB)
+        left_mb = max(0.0, free_mb - inflight * _REQUEST_MEMORY_MB)
+        part = free_mb * _BYTES_PER_MB * _BUFFER_RATIO * _STREAM_BUFFER_RATIO
+        stream_bytes = min(
+            _MAX_STREAM_BUFFER_BYTES, max(_MIN_STREAM_BUFFER_BYTES, part)
+        )
+        return BufferBounds(
+            int(stream_bytes), int(left_mb * _BYTES_PER_MB * _BUFFER_RATIO)
+        )
+
 
 class SettingsFile:
     """A file with a gateway's settings, which may change at any time."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -21,6 +21,7 @@
 from .fleet.freshness import Freshness
 from .fleet.members import Member, Members
 from .forwarding.retries import RetryBudget
+from .forwarding.slow_clients import create_write_buffers
 from .operations.metrics import GatewayMetrics
 from .placement.backoffs import Backoffs
 from .placement.domains import DomainFailures
@@ -119,6 +120,7 @@
         self.stopping = False
         self.refusing = False
         self.stop_deadline = 0.0
+        self.write_buffers = create_write_buffers(self)
         self._inflight = 0
         self._lock = threading.Lock()
         self.reserved_headers = get_reserved_headers(names)
@@ -142,7 +144,8 @@
 
     def get_pressure(self):
         """Return the `pressure.PressureLevel` of this gateway."""
-        occupancy = get_occupancy_level(self._inflight, self.cfg.max_inflight)
+        max_inflight = self.cfg.compute_max_inflight(self.write_buffers.total)
+        occupancy = get_occupancy_level(self._inflight, max_inflight)
         return max(self.pressure.level, occupancy)
 
     def is_ready(self):
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import collections
+from typing import NamedTuple
 
 import msgspec
 from valeweir.models import OUTCOME_HEADER, Outcome
@@ -13,12 +14,21 @@
 from .replies import ClientDisconnected, Reply, encode_head
 from .requests import BadRequest, RequestParser
 from .socket_waits import set_result_if_pending
+from .sockets import USER_TIMEOUT_MS, is_window_closed, set_user_timeout
+from .write_buffers import compute_resume_size, find_reached_bound
 
 # Limits the complete requests of one connection that wait for an earlier one.
 _MAX_PIPELINED_REQUEST_COUNT = 8
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
+class Stream(NamedTuple):
+    """The stream that a connection sends; ``deadline`` is on the loop's clock."""
+
+    request_id: str
+    deadline: float
+
+
 class ClientConnection(asyncio.Protocol):
     """Protocol of a client's connection; one task serves its requests in order."""
 
@@ -31,6 +41,11 @@
         self._request_waiter = None
         self._drain_waiter = None
         self._write_paused = False
+        self._stream = None
+        self._has_reported_bound = False
+        self._is_user_timeout_raised = False
+        # Unsent bytes as last counted in the server's write buffers.
+        self._buffered_size = 0
         self._is_serving = False
         self._answering = False
         self.is_disconnected = False
@@ -61,6 +76,7 @@
 
     def connection_lost(self, exc):  # noqa: D102
         self._mark_disconnected()
+        self._count_buffer(0)
         self._server.remove(self)
 
     def pause_writing(self):  # noqa: D102
@@ -68,6 +84,7 @@
 
     def resume_writing(self):  # noqa: D102
         self._write_paused = False
+        self._count_buffer(self._transport.get_write_buffer_size())
         set_result_if_pending(self._drain_waiter)
 
     @property
@@ -90,8 +107,44 @@
         if not self.is_disconnected:
             self._transport.write(data)
 
+    def start_stream(self, request_id, deadline):
+        """Record which stream is sent, and until when its client may take to read."""
+        self._stream = Stream(request_id, deadline)
+        self._has_reported_bound = False
+
+    async def wait_for_room(self):
+        """Wait until the unsent bytes are within the bounds.
+
+        Raises `ClientDisconnected`.
+        """
+        buffers = self._server.write_buffers
+        while self._write_paused and not self.is_disconnected:
+            size = self._transport.get_write_buffer_size()
+            self._count_buffer(size)
+            bounds = buffers.get_bounds()
+            bound = find_reached_bound(size, buffers.total, bounds)
+            if bound is None:
+                return
+            if self._stream is not None and not self._has_reported_bound:
+                self._has_reported_bound = True
+                buffers.on_bound_reached(self._stream.request_id, bound, size)
+            await self._wait_for_size(compute_resume_size(size, buffers.total, bounds))
+        if self.is_disconnected:
+            raise ClientDisconnected
+
+    async def _wait_for_size(self, size):
+        """Wait until at most ``size`` bytes are unsent or the client disconnects."""
+        self._transport.set_write_buffer_limits(high=size, low=size)
+        try:
+            self._drain_waiter = self._server.loop.create_future()
+            await self._drain_waiter
+        finally:
+            # Pauses writing again if bytes are left.
+            self._transport.set_write_buffer_limits(high=0)
+
     async def drain(self):
         """Wait until the write buffer is empty; raises `ClientDisconnected`."""
+        self._count_buffer(self._transport.get_write_buffer_size())
         while self._write_paused and not self.is_disconnected:
             self._drain_waiter = self._server.loop.create_future()
             await self._drain_waiter
@@ -131,11 +184,14 @@
             return False
         finally:
             self._is_serving = False
+            self._end_stream()
             self.last_activity = self._server.loop.time()
         return reply.keep_alive and reply.ended
 
     def check_timeouts(self, now):
-        """Close the connection if it is idle or its request arrives too slowly."""
+        """Close the connection if it is idle, or reads or sends too slowly."""
+        if self._stream is not None:
+            self._check_stream(now)
         if self._is_serving or self._requests or self._fault is not None:
             return
         idle_time = now - self.last_activity
@@ -152,6 +208,43 @@
             else:
                 self.close()
 
+    def _check_stream(self, now):
+        """Abort an overdue stream; allow its client to pause reading until then.
+
+        The user timeout of TCP also ends a connection whose peer answers but leaves its
+        receive window closed, so it is raised while the window is closed. A client host
+        that fails in this state is detected only at the deadline.
+        """
+        deadline = self._stream.deadline
+        if now >= deadline and self._write_paused:
+            size = self._transport.get_write_buffer_size()
+            self._server.write_buffers.on_abort(self._stream.request_id, size)
+            self._stream = None
+            self._transport.abort()
+            return
+        sock = self._transport.get_extra_info("socket")
+        is_closed = is_window_closed(sock)
+        if is_closed != self._is_user_timeout_raised:
+            self._is_user_timeout_raised = is_closed
+            timeout_ms = int((deadline - now) * 1000.0) if is_closed else 0
+            set_user_timeout(sock, max(USER_TIMEOUT_MS, timeout_ms))
+
+    def _end_stream(self):
+        """Stop checking the stream, unless bytes of it are still unsent."""
+        if self._write_paused or self._stream is None:
+            return
+        self._stream = None
+        if self._is_user_timeout_raised:
+            self._is_user_timeout_raised = False
+            if not self.is_disconnected:
+                set_user_timeout(
+                    self._transport.get_extra_info("socket"), USER_TIMEOUT_MS
+                )
+
+    def _count_buffer(self, size):
+        self._server.write_buffers.update(self._buffered_size, size)
+        self._buffered_size = size
+
     def _set_fault(self, fault):
         """Stop reading; the error response follows those of the earlier requests."""
         self._fault = fault
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/replies.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/replies.py
@@ -1,6 +1,7 @@
 """Writes HTTP responses to clients, complete or as streams."""
 
 import http
+import math
 
 import msgspec
 
@@ -50,8 +51,18 @@
         body = msgspec.json.encode(value)
         self.send(status, [("Content-Type", content_type), *headers], body)
 
-    def start_stream(self, status, headers):
-        """Start a chunked response; its head is sent with the first part."""
+    def start_stream(self, status, headers, request_id="", deadline=math.inf):
+        """Start a chunked response; its head is sent with the first part.
+
+        Parameters
+        ----------
+        request_id : str
+            Names the stream in log lines.
+        deadline : float
+            Time on the event loop's clock at which the connection is aborted if the
+            client has not read the stream by then.
+        """
+        self._conn.start_stream(request_id, deadline)
         self.started = True
         self._head = encode_head(status, headers, _CHUNKED_FRAMING, self._keep_alive)
 
@@ -61,13 +72,17 @@
             await self._conn.drain()
 
     async def write(self, part):
-        """Send a part of a stream; raises `ClientDisconnected`."""
+        """Send a part of a stream; raises `ClientDisconnected`.
+
+        Waits only while the unsent bytes exceed a bound of the `WriteBuffers`.
+        """
         if self._conn.is_disconnected:
             raise ClientDisconnected
         chunk = b"%s%x\r\n%s\r\n" % (self._head, len(part), part)
         self._head = b""
         self._conn.write(chunk)
-        await self.flush()
+        if self._conn.is_write_paused:
+            await self._conn.wait_for_room()
 
     def end(self):
         """Send the last chunk of a complete stream."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
@@ -7,6 +7,7 @@
 import socket
 
 from .client_connections import ClientConnection
+from .write_buffers import WriteBuffers
 
 _BACKLOG_COUNT = 1_024
 # Limits the connections accepted in one iteration of the event loop.
@@ -37,13 +38,16 @@
         Called with a code for each malformed request and each failed accept.
     prepare_socket : callable
         Called with each client's socket to set its options.
+    write_buffers : write_buffers.WriteBuffers
+        Bounds the unsent response bytes of all connections.
     """
 
-    def __init__(self, address, handle, on_rejection, prepare_socket):
+    def __init__(self, address, handle, on_rejection, prepare_socket, write_buffers):
         self.address = address
         self.handle = handle
         self.on_rejection = on_rejection
         self.prepare_socket = prepare_socket
+        self.write_buffers = write_buffers
         self.max_header = 32 << 10
         self.max_body = 8 << 20
         self.header_timeout = 10.0
@@ -158,10 +162,15 @@
 
 
 def create_server(
-    address, handle, on_rejection=lambda code: None, prepare_socket=lambda sock: None
+    address,
+    handle,
+    on_rejection=lambda code: None,
+    prepare_socket=lambda sock: None,
+    write_buffers=None,
 ):
     """Return a `Server` that binds its address when it is started."""
-    return Server(address, handle, on_rejection, prepare_socket)
+    write_buffers = write_buffers or WriteBuffers()
+    return Server(address, handle, on_rejection, prepare_socket, write_buffers)
 
 
 def create_sync_handler(handle, log):
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/sockets.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/sockets.py
@@ -3,8 +3,13 @@
 import ipaddress
 import select
 import socket
+import struct
 
 USER_TIMEOUT_MS = 1500
+# Offsets of ``tcpi_unacked`` and ``tcpi_notsent_bytes`` in the kernel's ``tcp_info``.
+_TCP_INFO_BYTES = 148
+_UNACKED_OFFSET = 24
+_NOTSENT_OFFSET = 144
 _KEEPALIVE_S = 1
 _KEEPALIVE_PROBE_COUNT = 2
 _PORT_COUNT = 1 << 16
@@ -20,6 +25,33 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def set_user_timeout(sock, timeout_ms):
+    """Set for how long sent or unsent data may make no progress, in milliseconds.
+
+    Does nothing if the connection has ended.
+    """
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+    except OSError:
+        pass
+
+
+def is_window_closed(sock):
+    """Return whether unsent data only waits for the peer's receive window to open.
+
+    With an unreachable peer, sent data is unacknowledged and the result is False.
+    """
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES)
+    except OSError:
+        return False
+    if len(info) < _TCP_INFO_BYTES:
+        return False
+    (unacked,) = struct.unpack_from("=I", info, _UNACKED_OFFSET)
+    (unsent_bytes,) = struct.unpack_from("=I", info, _NOTSENT_OFFSET)
+    return unacked == 0 and unsent_bytes > 0
+
+
 def is_readable(sock):
     """Return whether a read would return data or the end of the stream at once."""
     try:
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
@@ -16,7 +16,8 @@
     Only whole events are sent, so that a stream that breaks off can be resumed at
     another upstream within the same response. A pause follows each write, so that
     events which follow closely are read and written together: most of the CPU time is
-    spent on wake-ups and calls rather than on bytes.
+    spent on wake-ups and calls rather than on bytes. Reading goes on while the client
+    does not read, up to the bounds of `transport.write_buffers`.
     """
     splitter = EventSplitter()
     coalesce_s = state.cfg.streams.max_delay_ms / 1000.0 * _COALESCE_RATIO
@@ -66,4 +67,5 @@
 def _start_stream(ctx, head):
     if not ctx.reply.started:
         ctx.response_status = head.status
-        ctx.reply.start_stream(head.status, list(head.headers.items()))
+        headers = list(head.headers.items())
+        ctx.reply.start_stream(head.status, headers, ctx.id, ctx.deadline)
