--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -173,6 +173,8 @@
 
     async def _serve_request(self, request):
         """Serve one request; return whether the connection stays open."""
+        # The deadline of an earlier stream must not end a later response.
+        self._end_stream()
         reply = Reply(self, request)
         self._is_serving = True
         try:
@@ -184,7 +186,6 @@
             return False
         finally:
             self._is_serving = False
-            self._end_stream()
             self.last_activity = self._server.loop.time()
         return reply.keep_alive and reply.ended
 
@@ -213,7 +214,8 @@
 
         The user timeout of TCP also ends a connection whose peer answers but leaves its
         receive window closed, so it is raised while the window is closed. A client host
-        that fails in this state is detected only at the deadline.
+        that fails in this state is detected only at the deadline. A stream that was
+        written completely is checked on while the kernel holds its end for the client.
         """
         deadline = self._stream.deadline
         if now >= deadline and self._write_paused:
@@ -226,13 +228,13 @@
         is_closed = is_window_closed(sock)
         if is_closed != self._is_user_timeout_raised:
             self._is_user_timeout_raised = is_closed
-            timeout_ms = int((deadline - now) * 1000.0) if is_closed else 0
+            timeout_ms = (deadline - now) * 1000.0 if is_closed else 0
             set_user_timeout(sock, max(USER_TIMEOUT_MS, timeout_ms))
+        if not (self._is_serving or self._write_paused or is_closed):
+            self._stream = None
 
     def _end_stream(self):
-        """Stop checking the stream, unless bytes of it are still unsent."""
-        if self._write_paused or self._stream is None:
-            return
+        """Stop checking the stream and use the usual user timeout again."""
         self._stream = None
         if self._is_user_timeout_raised:
             self._is_user_timeout_raised = False
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/sockets.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/sockets.py
@@ -6,6 +6,8 @@
 import struct
 
 USER_TIMEOUT_MS = 1500
+# A stream may have no deadline, but the socket option is a 32-bit integer.
+_MAX_USER_TIMEOUT_MS = 3_600_000
 # Offsets of ``tcpi_unacked`` and ``tcpi_notsent_bytes`` in the kernel's ``tcp_info``.
 _TCP_INFO_BYTES = 148
 _UNACKED_OFFSET = 24
@@ -28,8 +30,9 @@
 def set_user_timeout(sock, timeout_ms):
     """Set for how long sent or unsent data may make no progress, in milliseconds.
 
-    Does nothing if the connection has ended.
+    At most an hour is set. Does nothing if the connection has ended.
     """
+    timeout_ms = int(min(timeout_ms, _MAX_USER_TIMEOUT_MS))
     try:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
     except OSError:
