--- a/packages/valeweir_gateway/src/valeweir_gateway/admission/policy.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission/policy.py
@@ -2,6 +2,7 @@
 
 from ..refusals import Refusal, limit_retry_after
 from .pressure import PressureLevel, get_intake_level
+from .return_times import ReturnInputs, compute_retry_after, describe_return
 from .shares import UNLIMITED, compute_pass_rate, describe_share_status
 
 # Parts of the latency target: limit of the whole wait, and limit of the queue ahead of
@@ -59,10 +60,11 @@
     )
     if choice.wait <= limit:
         return None
-    retry_after = limit_retry_after(
-        ctx, max(_MIN_RETRY_AFTER_S, choice.wait - limit / 2), now
+    fixed_time = max(_MIN_RETRY_AFTER_S, choice.wait - limit / 2)
+    retry_after, fields = _choose_retry_after(
+        state, ctx, fixed_time, now, choice, limit
     )
-    inputs = describe_wait_inputs(state, choice, status, limit, now)
+    inputs = {**describe_wait_inputs(state, choice, status, limit, now), **fields}
     return Refusal(503, "engines-busy", retry_after=retry_after, inputs=inputs)
 
 
@@ -111,10 +113,46 @@
         "crowding": round(crowding, 2),
         **describe_share_status(status, get_oldest_report_age(state, now)),
     }
-    retry_after = limit_retry_after(ctx, _BEYOND_SHARE_RETRY_AFTER_S, now)
+    retry_after, fields = _choose_retry_after(
+        state, ctx, _BEYOND_SHARE_RETRY_AFTER_S, now
+    )
+    inputs.update(fields)
     return Refusal(503, "beyond-share", retry_after=retry_after, inputs=inputs)
 
 
+def _choose_retry_after(state, ctx, fixed_time, now, choice=None, limit=None):
+    """Return the Retry-After of a refusal due to load, or None, and its log fields.
+
+    ``fixed_time`` applies unless the settings enable times of return. ``choice`` and
+    the ``limit`` of its wait are None if the request is refused for its account.
+    """
+    if not state.cfg.returns.enabled:
+        return limit_retry_after(ctx, fixed_time, now), {}
+    inputs = _get_return_inputs(state, ctx, choice, limit, now)
+    fields = describe_return(inputs)
+    state.metrics.returns.labels(fields["return_timing"]).inc()
+    return compute_retry_after(inputs), fields
+
+
+def _get_return_inputs(state, ctx, choice, limit, now):
+    declared = ctx.catalog.limits.tokens_per_second
+    usage = state.shares.get_fleet_usage(now, declared)
+    target = ctx.route.latency_target
+    left = ctx.deadline - now
+    return ReturnInputs(
+        usage.refused_tokens,
+        usage.tokens_per_second,
+        usage.window,
+        choice.wait if choice else 0.0,
+        limit if choice else _MAX_WAIT_RATIO * target,
+        choice.alone if choice else state.loads.base,
+        target,
+        ctx.spent + ctx.allowed - left,
+        left,
+        state.rng.random(),
+    )
+
+
 def check_pressure(state, ctx, now):
     """Return the `Refusal` of a request at an overloaded gateway, or None.
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/admission/shares.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission/shares.py
@@ -65,6 +65,14 @@
     share: AccountShare = AccountShare()
 
 
+class FleetUsage(NamedTuple):
+    """Tokens refused in the last ``window`` seconds, and those begun per second."""
+
+    refused_tokens: float
+    tokens_per_second: float
+    window: float
+
+
 # Status of a request without an account.
 UNLIMITED = ShareStatus(1.0)
 
@@ -85,6 +93,8 @@
         self._level = float("inf")
         self._declared_level = 0.0
         self._fleet_usage = {}
+        self._asked = 0.0
+        self._begun = 0.0
         self._remote = {}
 
     def count_asked_tokens(self, account, cost, now):
@@ -109,6 +119,16 @@
             share = self._get_account_share(get_digest(account))
         return ShareStatus(compute_share_factor(share, cost), share)
 
+    def get_fleet_usage(self, now, tokens_per_second=0.0):
+        """Return the `FleetUsage` of all accounts.
+
+        ``tokens_per_second`` is the declared rate of the upstreams.
+        """
+        with self._lock:
+            self._refresh(now, tokens_per_second)
+            refused = max(0.0, self._asked - self._begun)
+            return FleetUsage(refused, self._begun / self._window, self._window)
+
     def get_share_level(self):
         """Return the share level last computed, infinity if all demand is met."""
         return self._level
@@ -133,9 +153,10 @@
         self._fleet_usage = {
             name: TokenUsage(*row) for name, row in usage_by_account.items()
         }
-        begun = sum(usage.begun for usage in self._fleet_usage.values())
+        self._begun = sum(usage.begun for usage in self._fleet_usage.values())
         asked = [usage.asked for usage in self._fleet_usage.values()]
-        self._level = compute_share_level(asked, begun)
+        self._asked = sum(asked)
+        self._level = compute_share_level(asked, self._begun)
         self._declared_level = compute_share_level(
             asked, tokens_per_second * self._window
         )
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -20,6 +20,11 @@
         self.refused = self._counter(
             "requests_refused", "Requests refused by the gateway, by reason", "code"
         )
+        self.returns = self._counter(
+            "returns",
+            "Times of return of requests refused because of load, by timing",
+            "timing",
+        )
         self.account_tokens = self._counter(
             "account_tokens",
             "Tokens of requests received and begun here, by account and state",
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -75,6 +75,16 @@
     window: float = 4.0
 
 
+class Returns(msgspec.Struct, frozen=True):
+    """Times of return of model requests refused because of load.
+
+    If ``enabled``, they are derived from the fleet's load, see `return_times`, else
+    they are fixed.
+    """
+
+    enabled: bool = False
+
+
 class Upstreams(msgspec.Struct, frozen=True):
     """Rules on upstreams.
 
@@ -164,6 +174,7 @@
     reporting: Reporting = Reporting()
     processor: Processor = Processor()
     memory: Memory = Memory()
+    returns: Returns = Returns()
 
     @property
     def max_inflight(self):
--- a/packages/valeweir_gateway/tests/test_admission.py
+++ b/packages/valeweir_gateway/tests/test_admission.py
@@ -31,7 +31,7 @@
 from valeweir_gateway.placement.loads import Loads
 from valeweir_gateway.placement.prompts import Prompt
 from valeweir_gateway.placement.slow_start import SlowStart
-from valeweir_gateway.settings import Sharing
+from valeweir_gateway.settings import Returns, Sharing
 from valeweir_gateway.settings import SlowStart as SlowStartBound
 from valeweir_gateway.view.catalog import (
     Account,
@@ -69,6 +69,7 @@
         Limits(),
     )
     state = SimpleNamespace(
+        cfg=SimpleNamespace(returns=Returns()),
         inflight=0,
         intake=IntakeQueue(),
         catalog=catalog,
@@ -126,6 +127,18 @@
         refusal = self.check(5.0, allowed=1.5)
         self.assertLessEqual(refusal.retry_after, 0.5)
 
+    def test_returns_replace_the_fixed_time(self):
+        """Requests that are refused together must not get the same Retry-After."""
+        self.state.cfg = SimpleNamespace(returns=Returns(enabled=True))
+        self.record_usage(other_begun=0)
+        for code, draw in (("engines-busy", 0.0), ("beyond-share", 0.999)):
+            refusals = [self.check(0.9, draw=draw) for _ in range(20)]
+            self.assertEqual({row.code for row in refusals}, {code})
+            self.assertGreater(len({row.retry_after for row in refusals}), 10)
+            self.assertEqual(refusals[0].inputs["return_timing"], "on-time")
+            self.assertEqual(refusals[0].inputs["refused_tokens"], 20_000)
+            self.assertIsNone(self.check(0.9, allowed=0.05, draw=draw).retry_after)
+
     def test_prompt_too_long_for_its_target(self):
         self.assertIsNone(self.check(2.1, alone=2.0))
         self.assertIsNotNone(self.check(2.5, alone=2.0))
