--- a/packages/valeweir_gateway/src/valeweir_gateway/admission/return_times.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission/return_times.py
@@ -110,10 +110,15 @@
 
 
 def _compute_begun_ratio(inputs):
-    """Return the part of the tokens asked for that the fleet began, 1 if none were."""
+    """Return the part of the tokens asked for that the fleet began.
+
+    It is 1 if none were begun: the gateway has just started, or engines can be reached
+    again after an outage and are idle.
+    """
     begun_tokens = inputs.tokens_per_second * inputs.window
-    asked_tokens = begun_tokens + inputs.refused_tokens
-    return begun_tokens / asked_tokens if asked_tokens else 1.0
+    if not begun_tokens:
+        return 1.0
+    return begun_tokens / (begun_tokens + inputs.refused_tokens)
 
 
 def _estimate_backlog(inputs):
@@ -121,6 +126,5 @@
     if not inputs.refused_tokens:
         return 0.0
     if not inputs.tokens_per_second:
-        # Nothing was begun, as during an outage.
         return float("inf")
     return inputs.refused_tokens / inputs.tokens_per_second
