--- a/packages/valeweir_gateway/src/valeweir_gateway/admission/pressure.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/admission/pressure.py
@@ -7,7 +7,9 @@
 import collections
 from enum import IntEnum
 
+# Weight of a sample at the usual interval between samples.
 _EWMA_ALPHA = 0.2
+_SAMPLE_INTERVAL_S = 0.02
 # Upper bound of one sample, since a single long stop of the host or of a garbage
 # collection is not a queue.
 _MAX_SAMPLE_S = 0.24
@@ -115,10 +117,14 @@
         self.lag = 0.0
         self.level = PressureLevel.NONE
 
-    def observe(self, delay):
-        """Add a sample: the delay of a periodic timer, in seconds."""
+    def observe(self, delay, interval=_SAMPLE_INTERVAL_S):
+        """Add a sample: the delay of a timer that fires at an interval, in seconds.
+
+        The mean covers the same time at any interval up to the usual one.
+        """
         delay = min(_MAX_SAMPLE_S, max(0.0, delay))
-        self.lag += _EWMA_ALPHA * (delay - self.lag)
+        weight = min(1.0, interval / _SAMPLE_INTERVAL_S)
+        self.lag += (1.0 - (1.0 - _EWMA_ALPHA) ** weight) * (delay - self.lag)
         level = self._get_level()
         if level != self.level:
             self.level = level
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/report_exchange.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/report_exchange.py
@@ -19,13 +19,12 @@
 from .reports import Role, decode_report, encode_report
 from .totals import Totals
 
-# Intervals between ticks: in a full mesh or with many requests in flight, behind
-# relays, and with nothing to report.
-_BUSY_INTERVAL_S = 0.02
-_RELAYED_INTERVAL_S = 0.05
+# Intervals between ticks relative to that of the settings, which applies in a full mesh
+# or with many requests in flight: behind relays, and for each link of a relay.
+_RELAYED_INTERVAL_RATIO = 2.5
+_INTERVAL_PER_LINK_RATIO = 0.1
+# Interval with nothing to report.
 _QUIET_INTERVAL_S = 0.1
-# A relay with many links sends less often.
-_INTERVAL_PER_LINK_S = 0.002
 _MIN_BUSY_INFLIGHT = 8
 # State that depends on time alone (silent peers, expiry of usage) is recomputed at this
 # interval.
@@ -81,18 +80,17 @@
             await asyncio.sleep(interval)
             now = state.clock()
             state.pause_detector.tick()
-            state.pressure.observe(now - due)
+            state.pressure.observe(now - due, interval)
             self._run_logging_faults(self.tick, now)
 
     def _get_interval(self):
         state = self._state
-        if state.inflight == 0 and not self._has_changes():
-            interval = _QUIET_INTERVAL_S
-        elif state.members.is_mesh or state.inflight >= _MIN_BUSY_INFLIGHT:
-            interval = _BUSY_INTERVAL_S
-        else:
-            interval = _RELAYED_INTERVAL_S
-        return max(interval, _INTERVAL_PER_LINK_S * len(self._links))
+        return compute_interval(
+            state.cfg.reporting.interval_ms / 1000.0,
+            links=len(self._links),
+            is_quiet=state.inflight == 0 and not self._has_changes(),
+            is_busy=state.members.is_mesh or state.inflight >= _MIN_BUSY_INFLIGHT,
+        )
 
     def _receive_pending(self):
         """Receive pending datagrams; the rest is left for the next wake-up."""
@@ -372,6 +370,27 @@
             pass
 
 
+def compute_interval(interval, links, is_quiet, is_busy):
+    """Return the seconds until the next tick.
+
+    Parameters
+    ----------
+    interval : float
+        Interval of a busy gateway with few links, in seconds.
+    links : int
+        Number of gateways that this one reports to.
+    is_quiet : bool
+        Whether there is nothing to report.
+    is_busy : bool
+        Whether the gateway is in a mesh or has many requests in flight.
+    """
+    if is_quiet:
+        chosen = _QUIET_INTERVAL_S
+    else:
+        chosen = interval if is_busy else _RELAYED_INTERVAL_RATIO * interval
+    return max(chosen, _INTERVAL_PER_LINK_RATIO * interval * links)
+
+
 def _drain(rows):
     """Remove and return all rows of a deque that other components append to."""
     return [rows.popleft() for _ in range(len(rows))]
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -1,6 +1,7 @@
 """Settings of a gateway, from JSON with comments; unknown fields are ignored."""
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
 from valeweir.exceptions import SettingsError
@@ -128,10 +129,14 @@
     """Reports between gateways.
 
     With more than ``mesh_limit`` gateways, reports and views of the store go through
-    relays. All gateways must have the same limit.
+    relays. All gateways must have the same limit. ``interval_ms`` is the time in
+    milliseconds between the reports of a busy gateway; behind relays and at relays with
+    many links it is longer in proportion. All placement rests on loads as old as some
+    of these intervals, while shorter ones cost processor time and bytes.
     """
 
     mesh_limit: int = MESH_LIMIT
+    interval_ms: Annotated[float, msgspec.Meta(ge=1, le=100)] = 20.0
 
 
 class Processor(msgspec.Struct, frozen=True):
