--- a/packages/valeweir_cli/src/valeweir_cli/losses.py
+++ b/packages/valeweir_cli/src/valeweir_cli/losses.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 LATE = "late"
+LATE_PACE = "late-pace"
 # About one bin for each horizontal pixel of the plot.
 _MAX_BIN_COUNT = 900
 
@@ -106,8 +107,11 @@
         return str(fields.get("why") or "refused")
     if line.event == "request failed":
         return "internal"
-    if line.event == "request served" and _is_late(fields):
-        return LATE
+    if line.event == "request served":
+        if _is_late(fields):
+            return LATE
+        if _has_long_gap(fields):
+            return LATE_PACE
     return None
 
 
@@ -119,6 +123,13 @@
     return sent + first > latency_target
 
 
+def _has_long_gap(fields):
+    """Return whether two events of a stream were further apart than permitted."""
+    permitted = fields.get("gap_target_ms")
+    gap = fields.get("longest_gap_ms")
+    return bool(permitted) and gap is not None and gap > permitted
+
+
 def _get_quantiles(times):
     sorted_times = sorted(time for time in times if time is not None)
     if not sorted_times:
--- a/packages/valeweir_cli/tests/test_explain.py
+++ b/packages/valeweir_cli/tests/test_explain.py
@@ -92,6 +92,15 @@
         )
         self.assertEqual((reading.passed_over, reading.left_out), (2, 7))
 
+    def test_late_by_pace(self):
+        # Guards against streams whose first event is on time and whose gaps are not.
+        reading = read_logs([str(self.path)])
+        line = next(row for row in reading.lines if row.event == "request served")
+        fields = {**line.fields, "first_ms": 1.0, "gap_target_ms": 400.0}
+        for gap, reasons in ((399.0, []), (401.0, ["late-pace"])):
+            row = line._replace(fields={**fields, "longest_gap_ms": gap})
+            self.assertEqual([loss.reason for loss in find_losses([row])], reasons)
+
     def test_table_by_host(self):
         losses = find_losses(read_logs([str(self.path)]).lines)
         rows = tabulate(losses, "host")
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -61,6 +61,8 @@
     if work.first_data_s is not None and ctx.prompt is not None:
         state.metrics.first_event_seconds.observe(work.first_data_s)
         state.metrics.expected_first_event_seconds.observe(choice.wait)
+    if work.pace is not None:
+        state.metrics.event_gap_seconds.observe(work.pace.longest_gap)
     state.domains.record_success(choice.instance.domain)
     if state.loads.record_success(choice.instance.id, now):
         state.log.note("upstream back", upstream=choice.instance.id)
@@ -81,6 +83,7 @@
         latency_target_ms=to_milliseconds(ctx.route.latency_target),
         first_sent_ms=_get_first_sent_ms(ctx),
         first_ms=to_milliseconds(work.first_data_s or 0.0),
+        **_describe_pace(ctx, work),
         out_ms=_get_out_ms(ctx),
         sends=ctx.sends,
         took_ms=to_milliseconds(now - ctx.arrived),
@@ -154,6 +157,17 @@
     return to_milliseconds(ctx.last_byte_sent_at - ctx.arrived)
 
 
+def _describe_pace(ctx, work):
+    """Return log fields of a stream's pace, none for other responses."""
+    if work.pace is None:
+        return {}
+    return {
+        "events": work.pace.event_count,
+        "longest_gap_ms": to_milliseconds(work.pace.longest_gap),
+        "gap_target_ms": to_milliseconds(ctx.route.event_gap_target),
+    }
+
+
 def _get_first_sent_ms(ctx):
     """Return the milliseconds until the first send, or None if there was none."""
     if ctx.first_sent is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -85,6 +85,9 @@
             "Time to the first event as estimated at the send",
             "",
         )
+        self.event_gap_seconds = self._histogram(
+            "event_gap_seconds", "Longest time between two events of a stream", ""
+        )
         self.view_wait_seconds = self._histogram(
             "view_wait_seconds",
             "Time that requests waited for a current view after a process pause",
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/instance_loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/instance_loads.py
@@ -60,6 +60,7 @@
     were at the instance before it; ``sent`` is the time of sending and ``first_data_s``
     the seconds until the first data of the response. ``body_bytes`` is the size of the
     request's body until the head of the response has arrived, then 0.
+    ``pace`` is the `stream_pace.StreamPace` of a stream, None for other responses.
     """
 
     __slots__ = (
@@ -68,6 +69,7 @@
         "first_data_s",
         "instance_id",
         "is_prompt_read",
+        "pace",
         "running",
         "sent",
         "tokens",
@@ -82,3 +84,4 @@
         self.sent = sent
         self.first_data_s = None
         self.is_prompt_read = False
+        self.pace = None
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
@@ -4,6 +4,7 @@
 from ..transport.replies import ClientDisconnected
 from ..transport.responses import Data, End
 from .exchanges import Failure, Fault
+from .stream_pace import StreamPace
 
 # Part of the permitted delay of an event that is spent on coalescing writes; the rest
 # is left for the network and for a busy processor.
@@ -20,6 +21,7 @@
     does not read, up to the bounds of `transport.write_buffers`.
     """
     splitter = EventSplitter()
+    work.pace = StreamPace()
     coalesce_s = state.cfg.streams.max_delay_ms / 1000.0 * _COALESCE_RATIO
     while True:
         item = await exchange.read()
@@ -32,6 +34,8 @@
         blocks = splitter.feed(item.data)
         while (next_data := exchange.read_ready()) is not None:
             blocks += splitter.feed(next_data.data)
+        if blocks:
+            work.pace.observe(len(blocks), state.clock())
         failure = await _forward_blocks(ctx, head, blocks)
         if failure is not None:
             return failure
