--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
@@ -85,7 +85,7 @@
         return
     for name in reserved:
         state.metrics.headers_dropped.labels(name).inc()
-    state.log.note("headers dropped", id=ctx.id, names=reserved)
+    state.log.note("headers dropped", routine=True, id=ctx.id, names=reserved)
 
 
 def _set_time_limit(state, ctx):
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -68,6 +68,7 @@
         state.log.note("upstream back", upstream=choice.instance.id)
     state.log.note(
         "request served",
+        routine=True,
         id=ctx.id,
         status=ctx.response_status,
         route=ctx.route.name,
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/decision_log.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/decision_log.py
@@ -1,9 +1,9 @@
 """Structured log lines on standard output, limited in rate and never blocking.
 
 A separate thread writes the lines. Lines above the rate are dropped and counted.
-Failures have their own rate limit, so that lines on successes cannot displace them.
-Denials, which are refusals caused by the client, have a third one: otherwise many
-requests refused for lack of capacity would displace them.
+Changes of state, successful requests, failures and denials, which are refusals caused
+by the client, have separate rate limits: otherwise many lines on requests would
+displace the few that explain them.
 """
 
 import os
@@ -17,6 +17,8 @@
 
 _MAX_QUEUED_LINE_COUNT = 2_000
 _MAX_WRITE_LINE_COUNT = 64
+_CHANGE_LINES_PER_S = 60.0
+_CHANGE_BURST_LINE_COUNT = 240.0
 _ROUTINE_LINES_PER_S = 60.0
 _ROUTINE_BURST_LINE_COUNT = 240.0
 _FAILURE_LINES_PER_S = 60.0
@@ -69,6 +71,9 @@
         self._wall_clock = wall_clock
         self._queue = queue.Queue(_MAX_QUEUED_LINE_COUNT)
         self._lock = threading.Lock()
+        self._change_bucket = _TokenBucket(
+            _CHANGE_LINES_PER_S, _CHANGE_BURST_LINE_COUNT, clock
+        )
         self._routine_bucket = _TokenBucket(
             _ROUTINE_LINES_PER_S, _ROUTINE_BURST_LINE_COUNT, clock
         )
@@ -87,7 +92,7 @@
         self._thread = threading.Thread(target=self._run, name="log", daemon=True)
         self._thread.start()
 
-    def note(self, event, failed=False, denied=False, **fields):
+    def note(self, event, failed=False, denied=False, routine=False, **fields):
         """Queue a line about a decision or a change of state.
 
         Parameters
@@ -96,9 +101,11 @@
             Whether the line counts against the rate limit of failures.
         denied : bool
             Whether it counts against the rate limit of denials instead.
+        routine : bool
+            Whether it counts against the rate limit of successful requests.
         """
         with self._lock:
-            if not self._choose_bucket(failed, denied).take():
+            if not self._choose_bucket(failed, denied, routine).take():
                 self.left_out += 1
                 return
         # ``t`` orders the lines of one process, and ``time`` those of several hosts as
@@ -115,10 +122,12 @@
         except queue.Full:
             self.left_out += 1
 
-    def _choose_bucket(self, failed, denied):
+    def _choose_bucket(self, failed, denied, routine):
         if denied:
             return self._denial_bucket
-        return self._failure_bucket if failed else self._routine_bucket
+        if failed:
+            return self._failure_bucket
+        return self._routine_bucket if routine else self._change_bucket
 
     def stop(self):
         """Write the queued lines and stop the thread."""
--- a/packages/valeweir_gateway/tests/test_decisions.py
+++ b/packages/valeweir_gateway/tests/test_decisions.py
@@ -50,6 +50,13 @@
         self.flush()
         self.assertIn(b'"failed"', self.lines[-1])
 
+    def test_requests_do_not_use_the_rate_of_state_changes(self):
+        for _ in range(5_000):
+            self.log.note("request served", routine=True)
+        self.log.note("configuration in force")
+        self.flush()
+        self.assertIn(b'"configuration in force"', self.lines[-1])
+
     def test_failures_do_not_use_the_rate_of_denials(self):
         for _ in range(5_000):
             self.log.note("request refused", failed=True)
