--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/freshness.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/freshness.py
@@ -70,6 +70,11 @@
         as_of = self._get_as_of()
         return None if as_of is None else max(0.0, now - as_of)
 
+    def get_rounded_age(self, now):
+        """Return the age as a field for the log, None if it is unknown."""
+        age = self.get_age(now)
+        return None if age is None else round(age, 3)
+
     def _get_as_of(self):
         if len(self._store_as_of) < _TOPIC_COUNT:
             return self._peer_as_of
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
@@ -5,6 +5,7 @@
 from ..view.catalog import RouteKind
 from ..view.store_read_policy import get_max_view_age
 from ..view_source import get_version
+from .request_records import OUTDATED_CODE
 
 RESPONSE_MARGIN_S = 0.03
 _UNREADY_RETRY_AFTER_S = 0.5
@@ -64,7 +65,7 @@
         return denial
     return Refusal(
         503,
-        "configuration-old",
+        OUTDATED_CODE,
         retry_after=_UNREADY_RETRY_AFTER_S,
         inputs={"instead_of": denial.code},
     )
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -3,10 +3,13 @@
 from ..admission.shares import describe_share_status
 from ..quarantine.fingerprints import format_fingerprint
 from ..upstreams.exchanges import MISDIRECTED_STATUS, Fault
+from ..view.view_age import count_outdated_request
 from ..view_source import describe_catalog, describe_upstream, describe_view
 
 # Statuses that deny a client's request; wrong if the configuration is outdated.
 _DENIAL_STATUSES = frozenset((401, 403, 404))
+# Refusal instead of a denial that may be wrong.
+OUTDATED_CODE = "configuration-old"
 # Limits the client's host and path in log lines, as clients may send anything.
 _MAX_ASKED_CHARS = 80
 
@@ -14,7 +17,10 @@
 def record_refusal(state, ctx, refusal):
     """Count and log a refusal by this gateway."""
     state.metrics.refused.labels(refusal.code).inc()
-    denied = refusal.status in _DENIAL_STATUSES
+    is_outdated = refusal.code == OUTDATED_CODE
+    denied = is_outdated or refusal.status in _DENIAL_STATUSES
+    if is_outdated:
+        count_outdated_request(state, "denied", state.clock())
     state.log.note(
         "request refused",
         failed=True,
@@ -144,6 +150,7 @@
 
 def record_view_at_send(state, ctx, instance_id, now):
     """Store this gateway's view of the upstream as it sends, for the final log line."""
+    count_outdated_request(state, "sent", now)
     ctx.last_byte_sent_at = None
     ctx.view_at_send = {
         **describe_view(state, now),
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -30,6 +30,7 @@
 from .view.refresher import Refresher
 from .view.store_read_policy import StoreReadPolicy
 from .view.topic_followers import create_followers, create_view_handler
+from .view.view_age import ViewAgeMonitor
 from .view.view_sync import ViewSync
 from .view.views import ViewUpdater
 
@@ -42,6 +43,7 @@
 _CHECK_INTERVAL_S = 1.0
 _CACHE_CHECK_INTERVAL_S = 0.2
 _BACKOFF_CHECK_INTERVAL_S = 0.5
+_VIEW_AGE_CHECK_S = 0.2
 _OPEN_TIMEOUT_S = 10.0
 _CLOSE_TIMEOUT_S = 2.0
 
@@ -84,6 +86,7 @@
         )
         self._metrics_server = _create_metrics_server(state, self._update_gauges)
         self._domain_prober = DomainProber(state)
+        self._view_age_monitor = ViewAgeMonitor(state)
         self._publisher = Publisher(state, adapter, listen.reports)
 
     def start(self):
@@ -119,6 +122,9 @@
             "caches", _CACHE_CHECK_INTERVAL_S, self._cache_discovery.queue_new_engines
         )
         self.timers.subscribe("domains", PROBE_CHECK_S, self._domain_prober.probe)
+        self.timers.subscribe(
+            "view-age", _VIEW_AGE_CHECK_S, self._view_age_monitor.check
+        )
         self.timers.subscribe("limits", _CHECK_INTERVAL_S, self._apply_limits)
         self.timers.start()
 
@@ -234,6 +240,8 @@
         gauges.view_offset.set(state.directory_offset)
         age = state.freshness.get_age(state.clock())
         gauges.view_age.set(-1.0 if age is None else age)
+        for outcome, count in state.outdated_requests.items():
+            gauges.outdated_requests.labels(outcome).set(count)
         for follower in self._followers:
             age = follower.get_age(state.clock())
             gauges.topic_age.labels(follower.topic).set(-1.0 if age is None else age)
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -163,6 +163,12 @@
             "waiting_body_bytes",
             "Bytes of request bodies at upstreams without a response head",
         )
+        self.outdated_requests = self._gauge(
+            "outdated_requests",
+            "Requests decided while changes may have been in force elsewhere for "
+            "longer than allowed, by outcome",
+            "outcome",
+        )
         self.left_out = self._gauge("log_lines_left_out", "Log lines dropped")
         self.bad_records = self._gauge(
             "bad_records", "Store records that cannot be decoded"
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -92,6 +92,8 @@
             cfg.reporting.mesh_limit,
         )
         self.freshness = Freshness()
+        # Number of requests decided with an outdated view, by outcome; see `view_age`.
+        self.outdated_requests = {"sent": 0, "denied": 0}
         # The last `view_source.ViewUpdate` by topic, for the log.
         self.view_updates = {}
         self.catalog_topic = None
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/store_read_policy.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/store_read_policy.py
@@ -29,6 +29,11 @@
 _CHECK_INTERVAL_S = 0.5
 
 
+def get_allowed_delay(cfg):
+    """Return the seconds within which every change must be in force."""
+    return min(cfg.upstreams.leave_within_ms, cfg.store.change_within_ms) / 1000.0
+
+
 def get_max_view_age(cfg):
     """Return the age in seconds above which a view is too old.
 
@@ -36,8 +41,7 @@
     leaving upstream could still get requests, and a change of the configuration could
     come into force too late.
     """
-    allowed = min(cfg.upstreams.leave_within_ms, cfg.store.change_within_ms)
-    return allowed / 1000.0 - _READ_S
+    return get_allowed_delay(cfg) - _READ_S
 
 
 class StoreReadPolicy:
@@ -60,11 +64,10 @@
                 self._reads = self._state.reads_store = reads
                 self._changed.notify_all()
             now = self._state.clock()
-            age = self._state.freshness.get_age(now)
             self._state.log.note(
                 "store duty",
                 reads=reads,
-                view_age_s=None if age is None else round(age, 3),
+                view_age_s=self._state.freshness.get_rounded_age(now),
                 asked_to=now < self._temporary_until,
             )
         return reads
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
@@ -62,7 +62,9 @@
         self._state.log.note(
             "configuration in force",
             version=catalog.version,
+            replaced=in_force.version if in_force else None,
             offset=entry.offset,
+            view_age_s=self._state.freshness.get_rounded_age(self._state.clock()),
             routes=len(catalog.routes),
             accounts=len(catalog.accounts),
         )
--- a/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
@@ -40,10 +40,9 @@
 
 def describe_view(state, now):
     """Return log fields on the age and the origin of the view of the instances."""
-    age = state.freshness.get_age(now)
     fields = {
         "view_offset": state.directory_offset,
-        "view_age_s": None if age is None else round(age, 3),
+        "view_age_s": state.freshness.get_rounded_age(now),
         "reads_store": state.reads_store,
     }
     update = state.view_updates.get(state.instance_topic)
@@ -56,7 +55,6 @@
 
 def describe_catalog(state, now):
     """Return log fields on the configuration used for a decision, and on its age."""
-    age = state.freshness.get_age(now)
     since = state.catalog_since
     update = state.view_updates.get(state.catalog_topic)
     peers = state.members.get_live(now)
@@ -66,7 +64,7 @@
         ),
         "catalog_offset": state.catalog_offset,
         "in_force_s": None if since is None else round(now - since, 3),
-        "view_age_s": None if age is None else round(age, 3),
+        "view_age_s": state.freshness.get_rounded_age(now),
         "view_from": None if update is None else update.source,
         "reads_store": state.reads_store,
     }
--- a/packages/valeweir_gateway/tests/test_recording.py
+++ b/packages/valeweir_gateway/tests/test_recording.py
@@ -6,6 +6,7 @@
 from valeweir_gateway.refusals import Refusal
 from valeweir_gateway.transport.requests import Headers, Request
 from valeweir_gateway.view.catalog import Catalog, Limits
+from valeweir_gateway.view.view_age import ViewAgeMonitor, count_outdated_request
 from viewing import Clock, make_state
 
 
@@ -53,3 +54,28 @@
         denied, fields = self.refuse(Refusal(503, "engines-busy"))
         self.assertFalse(denied)
         self.assertNotIn("asked_path", fields)
+
+
+class TestOutdatedView(unittest.TestCase):
+    """A line tells how many requests were decided while the view was outdated."""
+
+    def test_requests_are_counted(self):
+        clock = Clock(100.0)
+        # Changes must be in force within 2 s.
+        state = make_state(Member("h0", "a", "10.0.0.1:4"), clock)
+        lines = []
+        state.log.note = lambda event, **fields: lines.append((event, fields))
+        state.freshness.record_peer_view(100.0)
+        monitor = ViewAgeMonitor(state)
+        for now, outcome in ((101.9, "sent"), (102.1, "sent"), (102.3, "denied")):
+            clock.now = now
+            monitor.check()
+            count_outdated_request(state, outcome, now)
+        state.freshness.record_peer_view(102.3)
+        monitor.check()
+        monitor.check()
+        self.assertEqual(
+            [event for event, _ in lines], ["view outdated", "view recent"]
+        )
+        expected = {"sent": 1, "denied": 1, "outdated_s": 0.2}
+        self.assertLessEqual(expected.items(), lines[1][1].items())
