--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -4,7 +4,12 @@
 from ..quarantine.fingerprints import format_fingerprint
 from ..upstreams.exchanges import MISDIRECTED_STATUS, Fault
 from ..view.view_age import count_outdated_request
-from ..view_source import describe_catalog, describe_upstream, describe_view
+from ..view_source import (
+    describe_catalog,
+    describe_upstream,
+    describe_view,
+    get_version,
+)
 
 # Statuses that deny a client's request; wrong if the configuration is outdated.
 _DENIAL_STATUSES = frozenset((401, 403, 404))
@@ -21,6 +26,8 @@
     denied = is_outdated or refusal.status in _DENIAL_STATUSES
     if is_outdated:
         count_outdated_request(state, "denied", state.clock())
+    request = ctx.request
+    fields = _describe_denial(state, request.target, request.headers) if denied else {}
     state.log.note(
         "request refused",
         failed=True,
@@ -36,16 +43,33 @@
         held_ms=to_milliseconds(state.clock() - ctx.arrived),
         retry_after=refusal.retry_after,
         **(refusal.inputs or {}),
-        **(_describe_denial(state, ctx) if denied else {}),
+        **fields,
     )
 
 
-def _describe_denial(state, ctx):
+def record_bad_request(state, exc):
+    """Log a request that could not be parsed or exceeded a limit, with the limits."""
+    limits = state.catalog.limits if state.catalog else None
+    state.log.note(
+        "request malformed",
+        failed=True,
+        denied=True,
+        id=exc.headers.get(state.names.request_id),
+        status=exc.status,
+        why=exc.text,
+        body_bytes=exc.headers.get("Content-Length"),
+        max_body_bytes=limits.body_bytes if limits else None,
+        max_head_bytes=limits.header_bytes if limits else None,
+        version=get_version(state),
+        **_describe_denial(state, exc.target, exc.headers),
+    )
+
+
+def _describe_denial(state, target, headers):
     """Return log fields of what was denied, and by which configuration."""
-    request = ctx.request
     return {
-        "asked_host": request.headers.get("Host", "")[:_MAX_ASKED_CHARS],
-        "asked_path": _get_prefix(request.path),
+        "asked_host": headers.get("Host", "")[:_MAX_ASKED_CHARS],
+        "asked_path": _get_prefix(target.partition("?")[0]),
         **describe_catalog(state, state.clock()),
     }
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -9,6 +9,7 @@
 
 from .fleet.report_exchange import create_fleet
 from .forwarding.handler import create_handler
+from .forwarding.request_records import record_bad_request
 from .loops import create_loop
 from .operations import metrics
 from .operations.decision_log import DecisionLog
@@ -23,7 +24,11 @@
 from .quarantine import crash_attribution
 from .quarantine.quarantine_store import QuarantineStore
 from .states import GatewayState
-from .transport.servers import create_server, create_sync_handler
+from .transport.servers import (
+    NOT_ACCEPTED_PREFIX,
+    create_server,
+    create_sync_handler,
+)
 from .transport.sockets import prepare_socket
 from .upstreams import upstream_signals
 from .view.publisher import Publisher
@@ -283,12 +288,14 @@
 
     def record_malformed(code):
         state.metrics.malformed.labels(code).inc()
-        log.note("request malformed", failed=True, why=code)
+        if code.startswith(NOT_ACCEPTED_PREFIX):
+            log.note("connection not accepted", failed=True, why=code)
 
     clients = create_server(
         cfg.listen.clients,
         create_handler(state),
         on_rejection=record_malformed,
+        on_bad_request=lambda exc: record_bad_request(state, exc),
         prepare_socket=prepare_socket,
         write_buffers=state.write_buffers,
     )
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -263,6 +263,7 @@
     def _send_error(self, fault):
         """Send an error response that marks the malformed request as not run."""
         self._server.on_rejection(f"http-{fault.status}")
+        self._server.on_bad_request(fault)
         body = msgspec.json.encode(
             {"error": {"code": f"http-{fault.status}", "message": fault.text}}
         )
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
@@ -56,12 +56,24 @@
 
 
 class BadRequest(Exception):
-    """A request cannot be parsed or exceeds a limit; ``status`` is for the response."""
+    """A request cannot be parsed or exceeds a limit.
 
-    def __init__(self, status, text):
+    Parameters
+    ----------
+    status : int
+        Status of the response.
+    target : str
+        Request target as far as it was parsed.
+    headers : Headers or None
+        Header fields as far as they were parsed.
+    """
+
+    def __init__(self, status, text, target="", headers=None):
         super().__init__(text)
         self.status = status
         self.text = text
+        self.target = target
+        self.headers = headers or Headers()
 
 
 class RequestParser:
@@ -114,7 +126,7 @@
             self._parser = httptools.HttpRequestParser(self)
             return data[exc.args[0] :]
         except httptools.HttpParserError as exc:
-            raise self._fault or BadRequest(400, str(exc)) from exc
+            raise self._fault or self._make_fault(400, str(exc)) from exc
         return b""
 
     def _check_partial_head_size(self, count):
@@ -126,7 +138,7 @@
         if self._is_started and not self._has_head:
             self._partial_head_size += count
             if self._partial_head_size > self._limits.max_header:
-                raise BadRequest(431, "the request head is too large")
+                raise self._make_fault(431, "the request head is too large")
 
     def on_message_begin(self):  # noqa: D102  (httptools calls these names)
         self._reset()
@@ -188,5 +200,8 @@
             self._fail(431, "the request head is too large")
 
     def _fail(self, status, text):
-        self._fault = BadRequest(status, text)
+        self._fault = self._make_fault(status, text)
         raise self._fault
+
+    def _make_fault(self, status, text):
+        return BadRequest(status, text, self._target.decode("latin-1"), self._headers)
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
@@ -9,6 +9,8 @@
 from .client_connections import ClientConnection
 from .write_buffers import WriteBuffers
 
+# Begins the codes of connections that could not be accepted.
+NOT_ACCEPTED_PREFIX = "not-accepted-"
 _BACKLOG_COUNT = 1_024
 # Limits the connections accepted in one iteration of the event loop.
 _MAX_ACCEPT_COUNT = 16
@@ -38,16 +40,27 @@
     ----------
     on_rejection : callable
         Called with a code for each malformed request and each failed accept.
+    on_bad_request : callable
+        Called with each `requests.BadRequest` before its response is sent.
     prepare_socket : callable
         Called with each client's socket to set its options.
     write_buffers : write_buffers.WriteBuffers
         Bounds the unsent response bytes of all connections.
     """
 
-    def __init__(self, address, handle, on_rejection, prepare_socket, write_buffers):
+    def __init__(
+        self,
+        address,
+        handle,
+        on_rejection,
+        on_bad_request,
+        prepare_socket,
+        write_buffers,
+    ):
         self.address = address
         self.handle = handle
         self.on_rejection = on_rejection
+        self.on_bad_request = on_bad_request
         self.prepare_socket = prepare_socket
         self.write_buffers = write_buffers
         self.max_header = 32 << 10
@@ -132,7 +145,7 @@
                 return
             except OSError as exc:
                 # The process or the host has run out of file descriptors or memory.
-                self.on_rejection(f"not-accepted-{exc.errno}")
+                self.on_rejection(f"{NOT_ACCEPTED_PREFIX}{exc.errno}")
                 self._pause_accepting(_ACCEPT_ERROR_PAUSE_S)
                 return
             self._create_task(self._serve_socket(sock))
@@ -179,12 +192,15 @@
     address,
     handle,
     on_rejection=lambda code: None,
+    on_bad_request=lambda exc: None,
     prepare_socket=lambda sock: None,
     write_buffers=None,
 ):
     """Return a `Server` that binds its address when it is started."""
     write_buffers = write_buffers or WriteBuffers()
-    return Server(address, handle, on_rejection, prepare_socket, write_buffers)
+    return Server(
+        address, handle, on_rejection, on_bad_request, prepare_socket, write_buffers
+    )
 
 
 def create_sync_handler(handle, log):
