--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
@@ -2,14 +2,17 @@
 
 from ..placement.prompts import parse_prompt
 from ..refusals import Refusal
+from ..transport.requests import BadRequest
 from ..view.catalog import RouteKind
 from ..view.store_read_policy import get_max_view_age
 from ..view_source import get_version
-from .request_records import OUTDATED_CODE
+from .request_records import OUTDATED_CODE, record_bad_request
 
 RESPONSE_MARGIN_S = 0.03
 _UNREADY_RETRY_AFTER_S = 0.5
 _STOPPING_RETRY_AFTER_S = 0.05
+# Statuses of requests that exceed a limit of the configuration.
+_LIMIT_STATUSES = frozenset((413, 431))
 
 
 def check_request(state, ctx):
@@ -58,10 +61,7 @@
     added since this gateway last received changes. The configuration is refreshed in
     the background, so that such requests cause no calls of the store.
     """
-    now = state.clock()
-    age = state.freshness.get_age(now)
-    is_fresh = age is not None and age <= get_max_view_age(state.cfg)
-    if is_fresh and not _has_newer_peer(state, now):
+    if _has_recent_configuration(state):
         return denial
     return Refusal(
         503,
@@ -71,6 +71,33 @@
     )
 
 
+def confirm_bad_request(state, exc):
+    """Return the `BadRequest` to respond with, and log it.
+
+    An exceeded limit is a 503 instead unless the limit is known to be in force, as
+    clients do not retry after 413 or 431.
+    """
+    confirmed = exc
+    if exc.status in _LIMIT_STATUSES and not _has_recent_configuration(state):
+        confirmed = BadRequest(
+            503,
+            "the limits on requests may be outdated",
+            exc.target,
+            exc.headers,
+            _UNREADY_RETRY_AFTER_S,
+        )
+    record_bad_request(state, exc, confirmed.status)
+    return confirmed
+
+
+def _has_recent_configuration(state):
+    """Return whether a newer configuration cannot have been in force for long."""
+    now = state.clock()
+    age = state.freshness.get_age(now)
+    is_recent = age is not None and age <= get_max_view_age(state.cfg)
+    return is_recent and not _has_newer_peer(state, now)
+
+
 def _has_newer_peer(state, now):
     """Return whether a peer has a newer configuration."""
     version = get_version(state)
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -8,6 +8,7 @@
     describe_catalog,
     describe_upstream,
     describe_view,
+    get_client_limits,
     get_version,
 )
 
@@ -47,19 +48,23 @@
     )
 
 
-def record_bad_request(state, exc):
-    """Log a request that could not be parsed or exceeded a limit, with the limits."""
-    limits = state.catalog.limits if state.catalog else None
+def record_bad_request(state, exc, status):
+    """Log a request that could not be parsed or exceeded a limit, with the limits.
+
+    ``status`` is that of the response, which may differ from that of the `BadRequest`.
+    """
+    limits = get_client_limits(state)
     state.log.note(
         "request malformed",
         failed=True,
         denied=True,
         id=exc.headers.get(state.names.request_id),
-        status=exc.status,
+        status=status,
+        instead_of=None if status == exc.status else exc.status,
         why=exc.text,
         body_bytes=exc.headers.get("Content-Length"),
-        max_body_bytes=limits.body_bytes if limits else None,
-        max_head_bytes=limits.header_bytes if limits else None,
+        max_body_bytes=limits.body_bytes,
+        max_head_bytes=limits.header_bytes,
         version=get_version(state),
         **_describe_denial(state, exc.target, exc.headers),
     )
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -9,7 +9,7 @@
 
 from .fleet.report_exchange import create_fleet
 from .forwarding.handler import create_handler
-from .forwarding.request_records import record_bad_request
+from .forwarding.request_checks import confirm_bad_request
 from .loops import create_loop
 from .operations import metrics
 from .operations.decision_log import DecisionLog
@@ -38,6 +38,7 @@
 from .view.view_age import ViewAgeMonitor
 from .view.view_sync import ViewSync
 from .view.views import ViewUpdater
+from .view_source import get_client_limits
 
 METRICS_PATH = "/metrics"
 _STOP_POLL_S = 0.05
@@ -130,7 +131,6 @@
         self.timers.subscribe(
             "view-age", _VIEW_AGE_CHECK_S, self._view_age_monitor.check
         )
-        self.timers.subscribe("limits", _CHECK_INTERVAL_S, self._apply_limits)
         self.timers.start()
 
     def stop(self):
@@ -270,16 +270,6 @@
         gauges.bad_records.set(state.bad_records)
         gauges.bad_keys.set(state.bad_keys)
 
-    def _apply_limits(self):
-        catalog = self.state.catalog
-        if catalog is None:
-            return
-        limits = catalog.limits
-        self._client_server.max_header = limits.header_bytes
-        self._client_server.max_body = limits.body_bytes
-        self._client_server.header_timeout = limits.header_timeout
-        self._client_server.idle_timeout = limits.idle_timeout
-
 
 def create_gateway(cfg, adapter, log=None, clock=get_lease_time):
     """Return a `Gateway` for valid settings; its ports are bound on start."""
@@ -295,9 +285,10 @@
         cfg.listen.clients,
         create_handler(state),
         on_rejection=record_malformed,
-        on_bad_request=lambda exc: record_bad_request(state, exc),
+        on_bad_request=lambda exc: confirm_bad_request(state, exc),
         prepare_socket=prepare_socket,
         write_buffers=state.write_buffers,
+        get_limits=lambda: get_client_limits(state),
     )
     clients.max_connections = cfg.descriptors.max_clients
     ready = create_server(
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -35,7 +35,9 @@
     def __init__(self, server):
         self._server = server
         self._transport = None
-        self._parser = RequestParser(server, self._add_request, self._send_continue)
+        self._parser = RequestParser(
+            server.get_limits, self._add_request, self._send_continue
+        )
         self._requests = collections.deque()
         self._fault = None
         self._request_waiter = None
@@ -197,11 +199,11 @@
             return
         idle_time = now - self.last_activity
         if self._parser.is_reading and not self._parser.is_in_body:
-            if idle_time > self._server.header_timeout:
+            if idle_time > self._server.limits.header_timeout:
                 self._set_fault(
                     BadRequest(408, "the request head was not received in time")
                 )
-        elif idle_time > self._server.idle_timeout:
+        elif idle_time > self._server.limits.idle_timeout:
             if self._parser.is_reading:
                 self._set_fault(
                     BadRequest(408, "the request body was not received in time")
@@ -249,7 +251,8 @@
 
     def _set_fault(self, fault):
         """Stop reading; the error response follows those of the earlier requests."""
-        self._fault = fault
+        self._fault = self._server.on_bad_request(fault)
+        self._server.on_rejection(f"http-{self._fault.status}")
         self._wake_serve()
 
     def _add_request(self, request):
@@ -262,8 +265,6 @@
 
     def _send_error(self, fault):
         """Send an error response that marks the malformed request as not run."""
-        self._server.on_rejection(f"http-{fault.status}")
-        self._server.on_bad_request(fault)
         body = msgspec.json.encode(
             {"error": {"code": f"http-{fault.status}", "message": fault.text}}
         )
@@ -271,6 +272,8 @@
             ("Content-Type", "application/json"),
             (OUTCOME_HEADER, Outcome.NOT_RUN.value),
         ]
+        if fault.retry_after is not None:
+            rows.append(("Retry-After", f"{fault.retry_after:.2f}"))
         framing = f"Content-Length: {len(body)}"
         self.write(encode_head(fault.status, rows, framing, False) + body)
         self.close()
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
@@ -66,10 +66,13 @@
         Request target as far as it was parsed.
     headers : Headers or None
         Header fields as far as they were parsed.
+    retry_after : float or None
+        Seconds after which the client may retry, None to omit the header.
     """
 
-    def __init__(self, status, text, target="", headers=None):
+    def __init__(self, status, text, target="", headers=None, retry_after=None):
         super().__init__(text)
+        self.retry_after = retry_after
         self.status = status
         self.text = text
         self.target = target
@@ -81,16 +84,16 @@
 
     Parameters
     ----------
-    limits : object
-        Has ``max_header`` and ``max_body`` in bytes.
+    get_limits : callable
+        Returns the `limits.ClientLimits` in force.
     on_request : callable
         Called with each complete `Request`.
     on_continue : callable
         Called when a request has the header ``Expect: 100-continue``.
     """
 
-    def __init__(self, limits, on_request, on_continue):
-        self._limits = limits
+    def __init__(self, get_limits, on_request, on_continue):
+        self._get_limits = get_limits
         self._on_request = on_request
         self._on_continue = on_continue
         self._parser = httptools.HttpRequestParser(self)
@@ -137,7 +140,7 @@
         """
         if self._is_started and not self._has_head:
             self._partial_head_size += count
-            if self._partial_head_size > self._limits.max_header:
+            if self._partial_head_size > self._get_limits().header_bytes:
                 raise self._make_fault(431, "the request head is too large")
 
     def on_message_begin(self):  # noqa: D102  (httptools calls these names)
@@ -162,14 +165,14 @@
         if encoding.lower() != _CHUNKED:
             self._fail(501, "the Transfer-Encoding is not supported")
         length = self._headers.get("Content-Length", "0")
-        if not length.isdigit() or int(length) > self._limits.max_body:
+        if not length.isdigit() or int(length) > self._get_limits().body_bytes:
             self._fail(413, "the request body is too large")
         if self._headers.get("Expect", "").lower() == "100-continue":
             self._on_continue()
 
     def on_body(self, part):  # noqa: D102
         self._body_size += len(part)
-        if self._body_size > self._limits.max_body:
+        if self._body_size > self._get_limits().body_bytes:
             self._fail(413, "the request body is too large")
         self._body_parts.append(part)
 
@@ -196,7 +199,7 @@
 
     def _add_head_size(self, size):
         self._head_size += size
-        if self._head_size > self._limits.max_header:
+        if self._head_size > self._get_limits().header_bytes:
             self._fail(431, "the request head is too large")
 
     def _fail(self, status, text):
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
@@ -7,6 +7,7 @@
 import socket
 
 from .client_connections import ClientConnection
+from .limits import ClientLimits
 from .write_buffers import WriteBuffers
 
 # Begins the codes of connections that could not be accepted.
@@ -34,14 +35,14 @@
 class Server:
     """Calls the coroutine function ``handle(request, reply)`` for each request.
 
-    Limits are in bytes and seconds and may be changed while the server runs.
-
     Parameters
     ----------
+    get_limits : callable
+        Returns the `limits.ClientLimits` in force.
     on_rejection : callable
         Called with a code for each malformed request and each failed accept.
     on_bad_request : callable
-        Called with each `requests.BadRequest` before its response is sent.
+        Called with each `requests.BadRequest`; returns the one to respond with.
     prepare_socket : callable
         Called with each client's socket to set its options.
     write_buffers : write_buffers.WriteBuffers
@@ -52,6 +53,7 @@
         self,
         address,
         handle,
+        get_limits,
         on_rejection,
         on_bad_request,
         prepare_socket,
@@ -59,14 +61,11 @@
     ):
         self.address = address
         self.handle = handle
+        self.get_limits = get_limits
         self.on_rejection = on_rejection
         self.on_bad_request = on_bad_request
         self.prepare_socket = prepare_socket
         self.write_buffers = write_buffers
-        self.max_header = 32 << 10
-        self.max_body = 8 << 20
-        self.header_timeout = 10.0
-        self.idle_timeout = 15.0
         self.max_connections = 1_000
         self.loop = None
         self._sock = None
@@ -122,6 +121,11 @@
         """Remove a closed connection."""
         self._connections.discard(conn)
 
+    @property
+    def limits(self):
+        """Return the `limits.ClientLimits` in force."""
+        return self.get_limits()
+
     @property
     def is_full(self):
         """Return whether the number of connections is close to its limit."""
@@ -192,14 +196,21 @@
     address,
     handle,
     on_rejection=lambda code: None,
-    on_bad_request=lambda exc: None,
+    on_bad_request=lambda exc: exc,
     prepare_socket=lambda sock: None,
     write_buffers=None,
+    get_limits=ClientLimits,
 ):
     """Return a `Server` that binds its address when it is started."""
     write_buffers = write_buffers or WriteBuffers()
     return Server(
-        address, handle, on_rejection, on_bad_request, prepare_socket, write_buffers
+        address,
+        handle,
+        get_limits,
+        on_rejection,
+        on_bad_request,
+        prepare_socket,
+        write_buffers,
     )
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/catalog.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/catalog.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from ..transport.limits import ClientLimits
+
 
 class RouteKind(StrEnum):
     """Whether the requests of a route may be repeated."""
@@ -86,12 +88,9 @@
 
 
 class Limits(NamedTuple):
-    """Limits on client input in bytes, seconds and tokens per second."""
+    """Limits on clients, and the rate of all engines in tokens per second."""
 
-    header_bytes: int = 32 << 10
-    body_bytes: int = 8 << 20
-    header_timeout: float = 10.0
-    idle_timeout: float = 15.0
+    clients: ClientLimits = ClientLimits()
     tokens_per_second: float = 0.0
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
@@ -3,6 +3,8 @@
 import operator
 from typing import NamedTuple
 
+from .transport.limits import ClientLimits
+
 STORE = "store"
 
 
@@ -38,6 +40,11 @@
     return state.catalog.version if state.catalog else 0
 
 
+def get_client_limits(state):
+    """Return the `ClientLimits` in force, the default ones before a configuration."""
+    return state.catalog.limits.clients if state.catalog else ClientLimits()
+
+
 def describe_view(state, now):
     """Return log fields on the age and the origin of the view of the instances."""
     fields = {
