--- a/packages/valeweir_gateway/tests/test_refreshing.py
+++ b/packages/valeweir_gateway/tests/test_refreshing.py
@@ -8,8 +8,11 @@
 from types import SimpleNamespace
 
 from valeweir_gateway.fleet.members import Member
+from valeweir_gateway.stores import StoreTimeout
+from valeweir_gateway.view.follower import TopicFollower
 from valeweir_gateway.view.refresher import Refresher
-from viewing import Clock, make_followers, make_state
+from valeweir_gateway.view.topics import Batch, Entry
+from viewing import Clock, ignore, make_followers, make_state
 
 
 class FakeFollower:
@@ -112,3 +115,44 @@
         for at in (100.0, 100.1, 100.4):
             self.refresher.check(at)
         self.assertEqual([row.applied for row in self.followers], [2, 0, 0])
+
+
+class HangingStore:
+    """Answers with one new record, except calls on the first new connections.
+
+    These hang until their time limit, which moves the clock.
+    """
+
+    def __init__(self, clock, hang_count):
+        self.clock = clock
+        self.hang_count = hang_count
+
+    def read(self, topic, offset, wait, anew=False, timeout=1.0):
+        if self.hang_count:
+            self.hang_count -= 1
+            self.clock.now += timeout
+            raise StoreTimeout("no answer")
+        return Batch([Entry("key", b"new", offset)], offset + 1)
+
+
+# Guards against a change that is in force late because one call of the store hangs.
+class TestHangingCall(unittest.TestCase):
+    def test_view_is_refreshed_in_time(self):
+        clock = Clock(100.0)
+        state = make_state(Member("h0", "a", "10.0.0.1:4"), clock)
+        state.freshness.record_peer_view(100.0)
+        store = HangingStore(clock, 1)
+        applied = []
+        followers = [
+            TopicFollower(store, name, applied.append, ignore, state.log, None, clock)
+            for name in ("catalog", "instances", "quarantine")
+        ]
+        for follower in followers:
+            follower.is_waiting = lambda now, seconds: True
+        read_policy = SimpleNamespace(reads_store=lambda: True)
+        refresher = Refresher(state, make_followers(*followers), read_policy)
+        # The view exceeds its maximum age of 1.4 s just after the check before.
+        clock.now = 101.55
+        refresher.check(clock.now)
+        self.assertEqual(len(applied), 3)
+        self.assertLess(clock.now, 102.0)
