--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -30,10 +30,11 @@
     def list_newest(self, topic, anew=False):
         """Return a `Listing` of the topic; ``anew`` opens a new connection."""
 
-    def read(self, topic, offset, wait, anew=False):
+    def read(self, topic, offset, wait, anew=False, timeout=None):
         """Return a `Batch`, waiting up to ``wait`` seconds for a record.
 
-        ``anew`` opens a new connection.
+        ``anew`` opens a new connection; ``timeout`` is then the time limit of the call
+        in seconds.
         """
 
     def move(self, address):
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -20,6 +20,9 @@
 # An answer that is later than this, beyond the requested wait, means that the store was
 # unavailable: the store usually answers within some milliseconds, a hundredth of this.
 _LATE_ANSWER_S = 0.5
+# Time limits of the attempts to read on a new connection. The first one is the answer
+# time of a slow store; if the call hangs, the second attempt is still in time.
+_REFRESH_TIMEOUTS_S = (0.3, 1.0)
 # An answer is overdue after this time beyond the requested wait, which is the answer
 # time of a slow store.
 _OVERDUE_S = 0.3
@@ -174,14 +177,21 @@
         This may be called while the follower's own call waits, because that call cannot
         distinguish a store without new records from a dead connection.
         """
-        call = self._create_call(0.0)
-        try:
-            self._read_on_new_connection(call)
-        except PlatformUnavailable as exc:
-            self._mark_unavailable(call, str(exc))
-            return False
-        self._set_available(True, "")
-        return True
+        for timeout in _REFRESH_TIMEOUTS_S:
+            call = self._create_call(0.0)
+            try:
+                self._read_on_new_connection(call, timeout)
+            except StoreTimeout as exc:
+                self._log_timeout(call)
+                failure = exc
+            except PlatformUnavailable as exc:
+                failure = exc
+                break
+            else:
+                self._set_available(True, "")
+                return True
+        self._mark_unavailable(call, str(failure))
+        return False
 
     def mark_outage(self):
         """Mark the store as unavailable after a failed call for another topic."""
@@ -270,9 +280,11 @@
         if batch.is_whole:
             self._mark_complete(min(call.started_at + waited, self._clock()))
 
-    def _read_on_new_connection(self, call):
+    def _read_on_new_connection(self, call, timeout):
         try:
-            batch = self._store.read(self._topic, self.end, call.wait, anew=True)
+            batch = self._store.read(
+                self._topic, self.end, call.wait, anew=True, timeout=timeout
+            )
         except HistoryExpired:
             listing = self._get_listing(anew=True)
             self._record_answer(call)
@@ -337,26 +349,29 @@
         )
 
     def _record_timeout(self, why):
-        """Log a call that timed out.
+        """Log a call of the follower's own thread that timed out.
 
         A single timeout may be a lost connection and does not count as an outage. An
         outage shows at the next call, which has a new connection, or at a refresh of
         the aging view. Counting the timeout as an outage would keep upstreams that have
         left in use for two more seconds.
         """
+        self._log_timeout(self._call)
+        self._timeout_count += 1
+        if self._timeout_count > 1:
+            self._mark_unavailable(self._call, why)
+
+    def _log_timeout(self, call):
         now = self._clock()
         age = self.get_age(now)
         self._log.note(
             "store call unanswered",
             failed=True,
             topic=self._topic,
-            waited_s=round(now - self._call.started_at, 3),
-            allowed_s=round(self._call.wait, 3),
+            waited_s=round(now - call.started_at, 3),
+            allowed_s=round(call.wait, 3),
             topic_age_s=None if age is None else round(age, 3),
         )
-        self._timeout_count += 1
-        if self._timeout_count > 1:
-            self._mark_unavailable(self._call, why)
 
     def _mark_unavailable(self, call, why):
         """Mark the store as unavailable, unless this process was paused meanwhile."""
