--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -85,8 +85,8 @@
             self._followers,
             int(listen.fleet.rpartition(":")[2]),
             read_policy,
-            Refresher(state, self._followers, read_policy),
         )
+        self._refresher = Refresher(state, self._followers, read_policy)
         self._cache_discovery = CacheDiscovery(
             state, adapter.list_parts, create_cache_fetcher(listen.fleet)
         )
@@ -104,6 +104,7 @@
         for follower in self._followers:
             follower.start(self.stopped)
         self._view_sync.start(self.stopped)
+        self._refresher.start(self.stopped)
         self._publisher.start(self.stopped)
         state.quarantine_store.start(self.stopped)
         self._cache_discovery.start(self.stopped)
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/refresher.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/refresher.py
@@ -9,8 +9,11 @@
 for too long.
 """
 
+import threading
+
 from .store_read_policy import get_max_view_age
 
+_CHECK_INTERVAL_S = 0.15
 # A younger call may still be answered at once.
 _MIN_CALL_AGE_S = 0.2
 _REFRESH_INTERVAL_S = 1.0
@@ -37,6 +40,20 @@
         self._next_refresh = 0.0
         self._next_apply = 0.0
 
+    def start(self, stopped):
+        """Check in a separate thread, as other threads wait for peers and the store."""
+        threading.Thread(
+            target=self._run, args=(stopped,), name="refresh", daemon=True
+        ).start()
+
+    def _run(self, stopped):
+        while not stopped.wait(_CHECK_INTERVAL_S):
+            try:
+                self.check(self._state.clock())
+            except Exception as exc:
+                # An error must not end the checks.
+                self._state.log.note("view not refreshed", failed=True, why=repr(exc))
+
     def check(self, now):
         """Refresh and retry what is due; blocks during calls of the store."""
         self._retry_unapplied(now)
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/view_sync.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/view_sync.py
@@ -97,17 +97,15 @@
         Port of the fleet's HTTP interface, which is the same for all gateways.
     read_policy : `store_read_policy.StoreReadPolicy`
         Made to read the store if peers do not deliver their view in time.
-    refresher : `refresher.Refresher`
     """
 
-    def __init__(self, state, followers, port, read_policy, refresher):
+    def __init__(self, state, followers, port, read_policy):
         self._state = state
         self._catalog = followers.catalog
         self._instances = followers.instances
         self._quarantine = followers.quarantine
         self._port = port
         self._read_policy = read_policy
-        self._refresher = refresher
         self._behind_since = None
         self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
 
@@ -191,17 +189,15 @@
         while not stopped.is_set():
             self._state.newer_view.wait(_CHECK_INTERVAL_S)
             self._state.newer_view.clear()
-            merged = self._run_guarded(self.catch_up)
-            # Fetching from peers comes first, as it needs no call of the store.
-            self._run_guarded(self._refresher.check)
+            merged = self._catch_up_guarded()
             self._read_policy.reads_store()
             if merged is False:
                 stopped.wait(_STORE_ANSWER_WAIT_S)
 
-    def _run_guarded(self, action):
-        """Run an action; an exception is logged and must not end this thread."""
+    def _catch_up_guarded(self):
+        """Catch up; an exception is logged and must not end this thread."""
         try:
-            return action(self._state.clock())
+            return self.catch_up(self._state.clock())
         except Exception as exc:
             self._state.log.note("view not taken", failed=True, why=repr(exc))
             return False
