--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
@@ -125,9 +125,9 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as exc:
-            # Requests to upgrade the protocol are ignored.
+            head = self._encode_head() if self._is_upgrade else b""
             self._parser = httptools.HttpRequestParser(self)
-            return data[exc.args[0] :]
+            return head + data[exc.args[0] :]
         except httptools.HttpParserError as exc:
             raise self._fault or self._make_fault(400, str(exc)) from exc
         return b""
@@ -167,7 +167,9 @@
         length = self._headers.get("Content-Length", "0")
         if not length.isdigit() or int(length) > self._get_limits().body_bytes:
             self._fail(413, "the request body is too large")
-        if self._headers.get("Expect", "").lower() == "100-continue":
+        self._is_upgrade = self._parser.should_upgrade() and self._method != "CONNECT"
+        expects = self._headers.get("Expect", "").lower()
+        if expects == "100-continue" and not self._is_upgrade:
             self._on_continue()
 
     def on_body(self, part):  # noqa: D102
@@ -177,8 +179,10 @@
         self._body_parts.append(part)
 
     def on_message_complete(self):  # noqa: D102
+        if self._is_upgrade:
+            return
         request = Request(
-            self._parser.get_method().decode("latin-1"),
+            self._method,
             self._target.decode("latin-1"),
             self._headers,
             b"".join(self._body_parts),
@@ -187,8 +191,29 @@
         self._reset()
         self._on_request(request)
 
+    @property
+    def _method(self):
+        return self._parser.get_method().decode("latin-1")
+
+    def _encode_head(self):
+        """Return the head of a request to upgrade the protocol, without the upgrade.
+
+        Upgrades are ignored, but httptools expects another protocol after the head of
+        such a request. It is parsed again, so that its body is read as usual.
+        """
+        version = self._parser.get_http_version()
+        lines = [f"{self._method} {self._target.decode('latin-1')} HTTP/{version}"]
+        for name, value in self._headers.rows:
+            if name.lower() == "connection":
+                options = [option.strip() for option in value.split(",")]
+                value = ", ".join(o for o in options if o.lower() != "upgrade")
+            if name.lower() != "upgrade":
+                lines.append(f"{name}: {value}")
+        return "\r\n".join([*lines, "", ""]).encode("latin-1")
+
     def _reset(self):
         self._is_started = False
+        self._is_upgrade = False
         self._has_head = False
         self._target = b""
         self._headers = Headers()
--- a/packages/valeweir_gateway/tests/test_requests.py
+++ b/packages/valeweir_gateway/tests/test_requests.py
@@ -63,6 +63,23 @@
         )
         self.assertEqual([r.target for r in self.requests], ["/", "/d"])
 
+    # Guards against a body that is dropped, and then rejected as the next request.
+    def test_body_of_a_request_to_upgrade(self):
+        head = b"POST /u HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, HTTP2-Settings\r\n"
+        head += b"Upgrade: h2c\r\nHTTP2-Settings: AAMAAABk\r\n"
+        sized = head + b"Content-Length: 5\r\n\r\nhello"
+        chunked = head + b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+        data = sized + chunked + CLOSING_REQUEST
+        for length in (len(data), 7, 1):
+            with self.subTest(length=length):
+                self.setUp()
+                for start in range(0, len(data), length):
+                    self.parser.feed(data[start : start + length])
+                expected = ("POST", "/u", b"hello", True)
+                self.assertEqual(
+                    self.get_summaries(), [expected, expected, SUMMARIES[2]]
+                )
+
 
 class TestAnyBytes(ParserCase):
     @settings(max_examples=200, deadline=None)
