--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
@@ -1,5 +1,6 @@
 """HTTP requests of clients and a strict parser for them."""
 
+import re
 from typing import NamedTuple
 
 import httptools
@@ -10,6 +11,7 @@
     ("host", "authorization", "content-length", "transfer-encoding")
 )
 _CHUNKED = "chunked"
+_ABSOLUTE_FORM = re.compile(r"https?://(?:[^/?#@]*@)?([^/?#]*)(.*)", re.IGNORECASE)
 
 
 class Headers:
@@ -55,6 +57,21 @@
         return self.target.partition("?")[0]
 
 
+def _convert_to_origin_form(target, headers):
+    """Return a request target and its headers with the authority in ``Host``.
+
+    A target in absolute form takes precedence over the ``Host`` header (RFC 9112, 3.2).
+    """
+    match = _ABSOLUTE_FORM.fullmatch(target)
+    if match is None:
+        return target, headers
+    authority, rest = match.groups()
+    rows = [row for row in headers.rows if row[0].lower() != "host"]
+    if not rest.startswith("/"):
+        rest = f"/{rest}"
+    return rest, Headers([("Host", authority), *rows])
+
+
 class BadRequest(Exception):
     """A request cannot be parsed or exceeds a limit.
 
@@ -181,10 +198,13 @@
     def on_message_complete(self):  # noqa: D102
         if self._is_upgrade:
             return
+        target, headers = _convert_to_origin_form(
+            self._target.decode("latin-1"), self._headers
+        )
         request = Request(
             self._method,
-            self._target.decode("latin-1"),
-            self._headers,
+            target,
+            headers,
             b"".join(self._body_parts),
             self._parser.should_keep_alive(),
         )
--- a/packages/valeweir_gateway/tests/test_requests.py
+++ b/packages/valeweir_gateway/tests/test_requests.py
@@ -63,6 +63,21 @@
         )
         self.assertEqual([r.target for r in self.requests], ["/", "/d"])
 
+    # Guards against 404 responses to requests whose target is a URL.
+    def test_target_in_absolute_form(self):
+        for target, expected in (
+            (b"http://other.example/a%2fb?q=1", "/a%2fb?q=1"),
+            (b"HTTP://other.example:80?q=1", "/?q=1"),
+            (b"http://other.example", "/"),
+        ):
+            with self.subTest(target=target):
+                self.setUp()
+                self.parser.feed(b"GET %s HTTP/1.1\r\nHost: h\r\nX: y\r\n\r\n" % target)
+                headers = self.requests[0].headers
+                self.assertEqual(self.requests[0].target, expected)
+                self.assertTrue(headers.get("host").startswith("other.example"))
+                self.assertEqual([name for name in headers], ["Host", "X"])
+
     # Guards against a body that is dropped, and then rejected as the next request.
     def test_body_of_a_request_to_upgrade(self):
         head = b"POST /u HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, HTTP2-Settings\r\n"
