--- a/packages/valeweir_cli/src/valeweir_cli/causes.py
+++ b/packages/valeweir_cli/src/valeweir_cli/causes.py
@@ -161,6 +161,16 @@
     )
 
 
+def _explain_outdated_view(line, span):
+    seconds = line.fields.get("outdated_s") or 0.0
+    if line.timestamp < span.arrived or line.timestamp - seconds > span.ended:
+        return None
+    return (
+        f"the gateway's view was older than allowed for {seconds:.3g} s, so it may not "
+        f"have known the newest configuration"
+    )
+
+
 def _explain_leaving(line, span):
     instance_id = line.fields.get("upstream")
     source = line.fields.get("source")
@@ -220,4 +230,5 @@
     "upstream ready": _explain_restart,
     "configuration in force": _explain_late_configuration,
     "store call unanswered": _explain_unanswered_call,
+    "view recent": _explain_outdated_view,
 }
--- a/packages/valeweir_cli/tests/test_explain.py
+++ b/packages/valeweir_cli/tests/test_explain.py
@@ -185,6 +185,7 @@
         leaving = ("upstream leaving", {"upstream": "i-1@5", "source": "answer"})
         recorded = ("upstream leaving", {"upstream": "i-1@5", "source": "record"})
         backoff = ("upstream backoff", {"upstream": "i-7", "seconds": 3.0})
+        outdated = ("view recent", {"outdated_s": 1.5})
         not_newer = ("configuration not newer", {"version": 5, "in_force": 11})
         all_backing_off = (
             "request refused",
@@ -212,6 +213,8 @@
             "in force later": (in_force, denied, 11.5, "only 1.50 s later"),
             "in force before": (in_force, denied, 9.5, None),
             "not denied": (in_force, sent, 11.5, None),
+            "outdated view": (outdated, sent, 10.2, "older than allowed for 1.5 s"),
+            "outdated view before arrival": (outdated, sent, 8.0, None),
             "store call unanswered": (
                 unanswered,
                 denied,
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -16,7 +16,7 @@
 _DENIAL_STATUSES = frozenset((401, 403, 404))
 # Refusal instead of a denial that may be wrong.
 OUTDATED_CODE = "configuration-old"
-# Limits the client's host and path in log lines, as clients may send anything.
+# Limits texts of clients in log lines, as clients may send anything.
 _MAX_ASKED_CHARS = 80
 
 
@@ -58,11 +58,11 @@
         "request malformed",
         failed=True,
         denied=True,
-        id=exc.headers.get(state.names.request_id),
+        id=_truncate(exc.headers.get(state.names.request_id)),
         status=status,
         instead_of=None if status == exc.status else exc.status,
         why=exc.text,
-        body_bytes=exc.headers.get("Content-Length"),
+        body_bytes=_truncate(exc.headers.get("Content-Length")),
         max_body_bytes=limits.body_bytes,
         max_head_bytes=limits.header_bytes,
         version=get_version(state),
@@ -73,7 +73,7 @@
 def _describe_denial(state, target, headers):
     """Return log fields of what was denied, and by which configuration."""
     return {
-        "asked_host": headers.get("Host", "")[:_MAX_ASKED_CHARS],
+        "asked_host": _truncate(headers.get("Host", "")),
         "asked_path": _get_prefix(target.partition("?")[0]),
         **describe_catalog(state, state.clock()),
     }
@@ -81,7 +81,12 @@
 
 def _get_prefix(path):
     """Return the path up to its last slash, the part that routes match."""
-    return path[: path.rfind("/") + 1][:_MAX_ASKED_CHARS]
+    return _truncate(path[: path.rfind("/") + 1])
+
+
+def _truncate(text):
+    """Return a text of a client with at most `_MAX_ASKED_CHARS` characters, or None."""
+    return None if text is None else text[:_MAX_ASKED_CHARS]
 
 
 def record_result(state, ctx, choice, failure, work):
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
@@ -197,6 +197,7 @@
 
     def on_message_complete(self):  # noqa: D102
         if self._is_upgrade:
+            # The request is parsed again, see `_encode_head`.
             return
         target, headers = _convert_to_origin_form(
             self._target.decode("latin-1"), self._headers
