--- a/packages/valeweir_cli/src/valeweir_cli/causes.py
+++ b/packages/valeweir_cli/src/valeweir_cli/causes.py
@@ -102,7 +102,7 @@
 
 def _explain_stall(line, span):
     seconds = line.fields.get("seconds") or 0.0
-    if line.timestamp < span.arrived or line.timestamp - seconds > span.ended:
+    if not _overlaps(line, span, seconds):
         return None
     return (
         f"the gateway process did not run for {seconds:.3g} s: it was stopped, "
@@ -149,11 +149,7 @@
 
 def _explain_unanswered_call(line, span):
     waited = line.fields.get("waited_s") or 0.0
-    if (
-        not span.is_denied
-        or line.timestamp < span.arrived
-        or line.timestamp - waited > span.ended
-    ):
+    if not span.is_denied or not _overlaps(line, span, waited):
         return None
     return (
         f"the gateway had waited {waited:.3g} s for a store that did not respond, so "
@@ -163,7 +159,7 @@
 
 def _explain_outdated_view(line, span):
     seconds = line.fields.get("outdated_s") or 0.0
-    if line.timestamp < span.arrived or line.timestamp - seconds > span.ended:
+    if not _overlaps(line, span, seconds):
         return None
     return (
         f"the gateway's view was older than allowed for {seconds:.3g} s, so it may not "
@@ -207,6 +203,11 @@
     )
 
 
+def _overlaps(line, span, seconds):
+    """Return whether the ``seconds`` before a log line overlap a request."""
+    return line.timestamp >= span.arrived and line.timestamp - seconds <= span.ended
+
+
 def _is_near(line, span):
     return (
         span.arrived - _MAX_CAUSE_DISTANCE_S
