--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -199,11 +199,11 @@
             return
         idle_time = now - self.last_activity
         if self._parser.is_reading and not self._parser.is_in_body:
-            if idle_time > self._server.limits.header_timeout:
+            if idle_time > self._server.get_limits().header_timeout:
                 self._set_fault(
                     BadRequest(408, "the request head was not received in time")
                 )
-        elif idle_time > self._server.limits.idle_timeout:
+        elif idle_time > self._server.get_limits().idle_timeout:
             if self._parser.is_reading:
                 self._set_fault(
                     BadRequest(408, "the request body was not received in time")
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
@@ -121,11 +121,6 @@
         """Remove a closed connection."""
         self._connections.discard(conn)
 
-    @property
-    def limits(self):
-        """Return the `limits.ClientLimits` in force."""
-        return self.get_limits()
-
     @property
     def is_full(self):
         """Return whether the number of connections is close to its limit."""
