--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -6,14 +6,17 @@
 
 
 class HistoryExpired(PlatformUnavailable):
-    """The requested records have been deleted, so the topic must be listed again.
+    """The store lacks the requested records, so the topic must be listed again.
 
-    ``first`` is the first available offset, None if the store did not return it.
+    They have been deleted, or were written before the store was restored from a copy.
+    ``first`` is the first available offset, None if the store did not return it, and
+    ``era`` the era of the store, 0 if it has none.
     """
 
-    def __init__(self, text, first=None):
+    def __init__(self, text, first=None, era=0):
         super().__init__(text)
         self.first = first
+        self.era = era
 
 
 class StoreTimeout(PlatformUnavailable):
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -113,6 +113,8 @@
         self._timeout_count = 0
         self._answered_at = None
         self._complete_at = None
+        # The highest era in an answer of the store; see `topics.Position`.
+        self._answered_era = 0
         self._on_complete = on_complete
         self._on_recovered = on_recovered
         self._on_update = on_update
@@ -147,9 +149,13 @@
                 self._list()
             else:
                 self._read()
-        except HistoryExpired:
+        except HistoryExpired as exc:
             self._log.note(
-                "history expired", topic=self._topic, offset=self._next_offset
+                "history expired",
+                topic=self._topic,
+                offset=self._next_offset,
+                first=exc.first,
+                era=exc.era,
             )
             self._next_offset = None
         except StoreTimeout as exc:
@@ -402,6 +408,8 @@
         """Merge an update with ``merge``, a method of `TopicRecords`."""
         with self._lock:
             begin = self.end
+            if source == STORE:
+                self._log_restore(update)
             unapplied = self._records.get_unapplied()
             merge(update)
             self._records.retry_unapplied(unapplied)
@@ -409,6 +417,22 @@
             self._on_update(self._topic, view_update)
             self._on_merged(self.end)
 
+    def _log_restore(self, update):
+        """Log that the store was restored, if an answer of it shows that."""
+        era, previous = update.era, self._answered_era
+        if era <= previous:
+            return
+        self._answered_era = era
+        if previous:
+            self._log.note(
+                "store restored",
+                topic=self._topic,
+                era=era,
+                previous_era=previous,
+                offset=self.end,
+                store_end=update.end,
+            )
+
     def _set_available(self, is_available, why):
         if is_available == self._is_available:
             return
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -6,6 +6,18 @@
 _MAX_REMOVED_COUNT = 2_000
 
 
+class Position(NamedTuple):
+    """An offset of a topic, and the era of the store that assigned it.
+
+    The era increases when the store is restored from a copy. Records after the copy are
+    then lost and their offsets are assigned again. The era is 0 before the first answer
+    of the store, and for a store without eras.
+    """
+
+    era: int
+    offset: int
+
+
 class Entry(NamedTuple):
     """A record of a keyed topic; a value of None removes the key."""
 
@@ -18,22 +30,25 @@
     """The newest record of each key.
 
     ``end`` is the offset from which to read on. Records that were written while the
-    pages were read have higher offsets.
+    pages were read have higher offsets. ``era`` is as for `Position`.
     """
 
     entries: list[Entry]
     end: int
+    era: int = 0
 
 
 class Batch(NamedTuple):
     """Records in order; ``end`` is the offset from which to read on.
 
-    ``is_whole`` is true if the topic ended there when it was read.
+    ``is_whole`` is true if the topic ended there when it was read. ``era`` is as for
+    `Position`.
     """
 
     entries: list[Entry]
     end: int
     is_whole: bool = True
+    era: int = 0
 
 
 def restore_highest_ranked(listing, history, rank):
