--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/reporter.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/reporter.py
@@ -102,7 +102,7 @@
             self._seq,
             role,
             get_version(state),
-            state.directory_offset,
+            state.directory_position.offset,
             -1.0 if age is None else age,
             state.stopping,
             totals.gateways if totals else 0,
@@ -112,14 +112,15 @@
             sorted(state.members.get_silent_domains(now)),
             self._pick_members(now) if with_members else [],
             state.members.own.capacity,
-            catalog_offset=state.catalog_offset,
+            catalog_offset=state.catalog_position.offset,
             stamp=self._stamps.make(),
             echo=make_echo(peer.report if peer else None),
-            quarantine_offset=state.quarantine_offset,
+            quarantine_offset=state.quarantine_position.offset,
             crashes=[_make_crash_row(row, now) for row in notices if row.crash],
             cleared=[row.fingerprint for row in notices if not row.crash],
             leaving=self._get_leaving(),
             failures=_limit_failures(totals.failures) if totals else {},
+            eras=tuple(position.era for position in state.view_positions),
         )
 
     def observe_peer_view(self, report):
@@ -129,8 +130,9 @@
         if sent_after is None or report.store_age < 0.0:
             return
         known = get_version(state) >= report.catalog_version
-        known = known and state.catalog_offset >= report.catalog_offset
-        if known and state.directory_offset >= report.directory_offset:
+        catalog, directory, _ = report.view_positions
+        known = known and state.catalog_position.covers(catalog)
+        if known and state.directory_position.covers(directory):
             state.freshness.record_peer_view(sent_after - report.store_age)
 
     def _get_leaving(self):
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/reports.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from ..view.topics import Position
 from .freshness import Echo
 
 VERSION = 2
@@ -59,7 +60,8 @@
     ``leaving`` holds digests of instances that have announced that they are leaving
     while their records are still marked ready. ``failures`` maps an instance's digest
     to the number of gateways that ejected it because a connection was refused, and the
-    number of gateways that have had a response from it since.
+    number of gateways that have had a response from it since. ``eras`` are the eras of
+    the store in which the offsets of configuration, instances and quarantine count.
     """
 
     version: int
@@ -88,12 +90,18 @@
     cleared: list[int] = []
     leaving: list[int] = []
     failures: dict[int, tuple[int, int]] = {}
+    eras: tuple[int, int, int] = (0, 0, 0)
 
     @property
     def view_offsets(self):
         """Return the sender's offsets: configuration, instances and quarantine."""
         return (self.catalog_offset, self.directory_offset, self.quarantine_offset)
 
+    @property
+    def view_positions(self):
+        """Return the `Position` of the sender's view of each of these topics."""
+        return tuple(map(Position, self.eras, self.view_offsets))
+
 
 _encoder = msgspec.msgpack.Encoder()
 _decoder = msgspec.msgpack.Decoder(Report)
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -243,7 +243,7 @@
         gauges.quarantined.set(len(state.quarantine))
         gauges.warming.set(len(state.slow_start))
         gauges.evacuated.set(len(state.evacuations.domains))
-        gauges.view_offset.set(state.directory_offset)
+        gauges.view_offset.set(state.directory_position.offset)
         age = state.freshness.get_age(state.clock())
         gauges.view_age.set(-1.0 if age is None else age)
         for outcome, count in state.outdated_requests.items():
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -37,6 +37,7 @@
 from .view.directory import Directory
 from .view.evacuations import Evacuations
 from .view.lapsed_records import LapsedRecords
+from .view.topics import Position
 
 # The requests that one or two upstreams run at a time, as an upstream that ends leaves
 # one notice per request. Older notices are discarded.
@@ -71,8 +72,8 @@
         self.directory_known = False
         self.lapsed_records = LapsedRecords(cfg.upstreams.leave_within_ms / 1000.0)
         self.members_known = False
-        self.directory_offset = 0
-        self.catalog_offset = 0
+        self.directory_position = Position(0, 0)
+        self.catalog_position = Position(0, 0)
         self.catalog_known = False
         self.evacuations = Evacuations()
         self.bad_records = 0
@@ -110,7 +111,7 @@
         self.upstream_exits = UpstreamExits(clock, self.connections.keep)
         self.suspects = Suspects()
         self.quarantine = Quarantine()
-        self.quarantine_offset = 0
+        self.quarantine_position = Position(0, 0)
         self.quarantine_known = False
         # Set by `gateway.Gateway`, because it writes through the store of the adapter.
         self.quarantine_store = None
@@ -142,9 +143,13 @@
         return self.catalog is not None and known
 
     @property
-    def view_offsets(self):
-        """Return the known offsets of configuration, instances and quarantines."""
-        return (self.catalog_offset, self.directory_offset, self.quarantine_offset)
+    def view_positions(self):
+        """Return the known `Position` of configuration, instances and quarantines."""
+        return (
+            self.catalog_position,
+            self.directory_position,
+            self.quarantine_position,
+        )
 
     def get_pressure(self):
         """Return the `pressure.PressureLevel` of this gateway."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -49,7 +49,7 @@
     apply : callable
         Called with each `Entry` that is newer than the known one of its key.
     on_merged : callable
-        Called with the end offset after each merged listing or batch.
+        Called with the `topics.Position` of the end after each merged listing or batch.
     poll : callable
         Returns for how many seconds a call waits for a record.
     is_wanted : callable
@@ -59,8 +59,8 @@
         Called with the topic and the time as of which the view of it is complete,
         after an answer of the store has been applied.
     on_recovered : callable
-        Called with the current time when the store answers after an outage, before the
-        answer is applied.
+        Called with the current time when the store answers after an outage or after it
+        was restored from a copy, before the answer is applied.
     get_pause_total : callable
         Returns the total time in seconds for which this process has been paused.
     wait_until_wanted : callable
@@ -101,7 +101,9 @@
         self._poll = poll
         self._clock = clock
         self._is_wanted = is_wanted
-        self._next_offset = None
+        self._needs_listing = True
+        # The position at which the follower's own thread was refused to read.
+        self._refused = None
         self._lock = threading.RLock()
         self._retry_delay = _FIRST_RETRY_DELAY_S
         self._is_available = None
@@ -113,8 +115,6 @@
         self._timeout_count = 0
         self._answered_at = None
         self._complete_at = None
-        # The highest era in an answer of the store; see `topics.Position`.
-        self._answered_era = 0
         self._on_complete = on_complete
         self._on_recovered = on_recovered
         self._on_update = on_update
@@ -145,7 +145,7 @@
     def follow_once(self):
         """Make one call; return whether it succeeded."""
         try:
-            if self._next_offset is None:
+            if self._needs_listing:
                 self._list()
             else:
                 self._read()
@@ -153,11 +153,10 @@
             self._log.note(
                 "history expired",
                 topic=self._topic,
-                offset=self._next_offset,
+                offset=self._refused.offset,
                 first=exc.first,
                 era=exc.era,
             )
-            self._next_offset = None
         except StoreTimeout as exc:
             self._record_timeout(str(exc))
             return False
@@ -243,65 +242,116 @@
         """Return the offset up to which all records of the topic are known."""
         return self._records.end
 
+    @property
+    def position(self):
+        """Return the `topics.Position` up to which all records are known."""
+        return self._records.position
+
     def get_listing(self):
         """Return all known records as a `Listing` for a peer."""
         with self._lock:
             return self._records.get_listing()
 
-    def get_batch(self, offset):
+    def get_batch(self, offset, era=0):
         """Return a `Batch` of the changes from ``offset`` on, None if unknown."""
         with self._lock:
-            return self._records.get_batch(offset)
+            return self._records.get_batch(offset, era)
 
     def adopt(self, listing, source="peer"):
-        """Merge a listing of a peer; records older than the known ones are ignored."""
-        self._merge(self._records.merge_listing, listing, source, True)
+        """Merge a listing of a peer; records older than the known ones are ignored.
+
+        Return whether it is of the current era of the store.
+        """
+        return self._merge(self._records.merge_listing, listing, source, True)
 
     def adopt_batch(self, batch, source="peer"):
-        """Merge changes since our end offset that a peer has sent."""
-        self._merge(self._records.merge_batch, batch, source, False)
+        """Merge changes since our end offset that a peer has sent.
+
+        Return whether they are of the current era of the store.
+        """
+        return self._merge(self._records.merge_batch, batch, source, False)
 
     def _list(self):
         call = self._begin_call(0.0)
         listing = self._get_listing()
-        self._record_answer(call)
-        self._merge(self._records.merge_listing, listing, STORE, True)
-        self._next_offset = listing.end
+        self._record_answer(call, listing.era)
+        self._merge_listing(listing, self._refused)
+        self._needs_listing = False
+        self._refused = None
         self._mark_complete(call.started_at)
 
     def _read(self):
         # Records that a peer has sent meanwhile are not read again.
-        start = self._next_offset = max(self._next_offset, self.end)
+        start = self.position
         call = self._begin_call(self._poll())
         try:
-            batch = self._store.read(self._topic, start, call.wait)
-        except HistoryExpired:
-            self._record_answer(call)
+            batch = self._store.read(self._topic, start.offset, call.wait)
+        except HistoryExpired as exc:
+            self._record_answer(call, exc.era)
+            self._needs_listing = True
+            self._refused = start
             raise
-        self._record_answer(call)
-        self._merge(self._records.merge_batch, batch, STORE, False)
-        self._next_offset = batch.end
+        self._record_answer(call, batch.era)
+        self._merge_batch(batch, start)
         # An answer without records is sent only after the requested wait.
         waited = 0.0 if batch.entries else call.wait
         if batch.is_whole:
             self._mark_complete(min(call.started_at + waited, self._clock()))
 
     def _read_on_new_connection(self, call, timeout):
+        start = self.position
         try:
             batch = self._store.read(
-                self._topic, self.end, call.wait, anew=True, timeout=timeout
+                self._topic, start.offset, call.wait, anew=True, timeout=timeout
             )
         except HistoryExpired:
             listing = self._get_listing(anew=True)
-            self._record_answer(call)
-            self._merge(self._records.merge_listing, listing, STORE, True)
+            self._record_answer(call, listing.era)
+            self._merge_listing(listing, start)
         else:
-            self._record_answer(call)
-            self._merge(self._records.merge_batch, batch, STORE, False)
+            self._record_answer(call, batch.era)
+            self._merge_batch(batch, start)
             if not batch.is_whole:
                 return
         self._mark_complete(call.started_at)
 
+    def _merge_listing(self, listing, refused):
+        """Merge a listing of the store.
+
+        Parameters
+        ----------
+        refused : Position or None
+            Where the store refused to read before this listing.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the store has been restored since the listing, or ends before the refused
+            position without a new era. The view is not complete then.
+        """
+        if not listing.era:
+            listing = listing._replace(era=self._records.era)
+        if not self._merge(self._records.merge_listing, listing, STORE, True):
+            raise PlatformUnavailable(f"a late answer of era {listing.era}")
+        if refused is not None and listing.end < refused.offset:
+            if listing.era == refused.era:
+                raise PlatformUnavailable(
+                    f"{self._topic} ends at {listing.end}, before {refused.offset}"
+                )
+
+    def _merge_batch(self, batch, start):
+        """Merge a batch of the store, read from the `Position` ``start``.
+
+        Raises
+        ------
+        PlatformUnavailable
+            If the store has been restored since the batch.
+        """
+        if not batch.era:
+            batch = batch._replace(era=start.era)
+        if not self._merge(self._records.merge_batch, batch, STORE, False):
+            raise PlatformUnavailable(f"a late answer of era {batch.era}")
+
     def _get_listing(self, anew=False):
         """List the topic, with the highest record of its history for ranked keys."""
         listing = self._store.list_newest(self._topic, anew)
@@ -385,8 +435,12 @@
             self._was_unavailable = True
         self._set_available(False, why)
 
-    def _record_answer(self, call):
-        """Log a late answer, and report a recovery if it ends an outage."""
+    def _record_answer(self, call, era):
+        """Log a late answer, and report a recovery if it ends an outage.
+
+        Records that the store has lost in a restore may be written again, as those that
+        expired in an outage.
+        """
         now = self._clock()
         paused = self._get_pause_total() - call.pause_total
         late = now - call.started_at - call.wait
@@ -400,38 +454,36 @@
         # A late answer is no outage if this process was paused before reading it. An
         # upstream whose record was removed meanwhile has left, and would otherwise get
         # requests for two more seconds.
-        if self._was_unavailable or late - paused > _LATE_ANSWER_S:
+        is_restored = 0 < self._records.era < era
+        if self._was_unavailable or is_restored or late - paused > _LATE_ANSWER_S:
             self._on_recovered(now)
         self._was_unavailable = False
 
     def _merge(self, merge, update, source, is_listing):
-        """Merge an update with ``merge``, a method of `TopicRecords`."""
+        """Merge an update; return the result of ``merge``, a `TopicRecords` method."""
         with self._lock:
-            begin = self.end
-            if source == STORE:
-                self._log_restore(update)
+            begin = self.position
             unapplied = self._records.get_unapplied()
-            merge(update)
+            merged = merge(update)
             self._records.retry_unapplied(unapplied)
-            view_update = ViewUpdate(begin, self.end, source, is_listing, self._clock())
+            if 0 < begin.era < self.position.era:
+                self._log_restore(begin, source)
+            at = self._clock()
+            view_update = ViewUpdate(begin, self.position, source, is_listing, at)
             self._on_update(self._topic, view_update)
-            self._on_merged(self.end)
+            self._on_merged(self.position)
+        return merged
 
-    def _log_restore(self, update):
-        """Log that the store was restored, if an answer of it shows that."""
-        era, previous = update.era, self._answered_era
-        if era <= previous:
-            return
-        self._answered_era = era
-        if previous:
-            self._log.note(
-                "store restored",
-                topic=self._topic,
-                era=era,
-                previous_era=previous,
-                offset=self.end,
-                store_end=update.end,
-            )
+    def _log_restore(self, previous, source):
+        self._log.note(
+            "store restored",
+            topic=self._topic,
+            era=self.position.era,
+            previous_era=previous.era,
+            offset=previous.offset,
+            store_end=self.end,
+            source=source,
+        )
 
     def _set_available(self, is_available, why):
         if is_available == self._is_available:
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
@@ -4,7 +4,7 @@
 from urllib.parse import parse_qs
 
 from .follower import TopicFollower
-from .view_sync import VIEW_PATH, encode_view, make_topic_view
+from .view_sync import VIEW_PATH, encode_view, make_topic_view, parse_position
 
 _MEMBERS_CHECK_S = 0.3
 
@@ -57,26 +57,26 @@
             rank,
         )
 
-    def mark_members_known(offset):
-        updater.mark_members_known(offset)
+    def mark_members_known(position):
+        updater.mark_members_known(position)
         read_policy.mark_members_read()
 
     return Followers(
         follow(
             adapter.catalog_topic,
             updater.apply_catalog,
-            updater.record_catalog_offset,
+            updater.record_catalog_position,
             rank=updater.rank_catalog,
         ),
         follow(
             adapter.instance_topic,
             updater.apply_instance,
-            updater.record_directory_offset,
+            updater.record_directory_position,
         ),
         follow(
             adapter.quarantine_topic,
             updater.apply_quarantine,
-            updater.record_quarantine_offset,
+            updater.record_quarantine_position,
             # The other two topics determine the age of the view and the outages of the
             # store.
             on_complete=ignore,
@@ -109,18 +109,17 @@
         # only make the view newer than this age.
         age = state.freshness.get_age(now)
         data = encode_view(
-            make_topic_view(followers.catalog, _get_offset(request, "catalog")),
-            make_topic_view(followers.instances, _get_offset(request, "instances")),
+            make_topic_view(followers.catalog, _get_position(request, "catalog")),
+            make_topic_view(followers.instances, _get_position(request, "instances")),
             state.lapsed_records.get_recovery_age(now),
             -1.0 if age is None else age,
-            make_topic_view(followers.quarantine, _get_offset(request, "quarantine")),
+            make_topic_view(followers.quarantine, _get_position(request, "quarantine")),
         )
         reply.send(200, [("Content-Type", "application/msgpack")], data)
 
     return handle
 
 
-def _get_offset(request, name):
+def _get_position(request, name):
     query = parse_qs(request.target.partition("?")[2])
-    text = query.get(name, [""])[-1]
-    return int(text) if text.isdigit() else 0
+    return parse_position(query.get(name, [""])[-1])
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -4,6 +4,8 @@
 from typing import NamedTuple
 
 _MAX_REMOVED_COUNT = 2_000
+# Precedes the offset of every record, and that of a removal in an empty topic.
+_EARLIER_ERA_OFFSET = -2
 
 
 class Position(NamedTuple):
@@ -17,6 +19,13 @@
     era: int
     offset: int
 
+    def covers(self, other):
+        """Return whether a view up to here has all records up to ``other``.
+
+        A view of a later era may lack records that the store has lost.
+        """
+        return self.era == other.era and self.offset >= other.offset
+
 
 class Entry(NamedTuple):
     """A record of a keyed topic; a value of None removes the key."""
@@ -110,8 +119,14 @@
         self._removed = collections.deque()
         # All changes from this offset on are known, including removals.
         self._first_known_offset = 0
+        self.era = 0
         self.end = 0
 
+    @property
+    def position(self):
+        """Return the `Position` up to which all records are known."""
+        return Position(self.era, self.end)
+
     def get_unapplied(self):
         """Return the records that could not be applied yet."""
         return list(self._unapplied.values())
@@ -125,21 +140,26 @@
     def get_listing(self):
         """Return all known records as a `Listing`."""
         present = [e for e in self._entries.values() if e.value is not None]
-        return Listing(present, self.end)
+        return Listing(present, self.end, self.era)
 
-    def get_batch(self, offset):
+    def get_batch(self, offset, era=0):
         """Return a `Batch` of the changes from ``offset`` on, None if unknown."""
-        if offset < self._first_known_offset:
+        if era != self.era or offset < self._first_known_offset:
             return None
         rows = [e for e in self._entries.values() if e.offset >= offset]
-        return Batch(sorted(rows, key=lambda row: row.offset), self.end)
+        rows.sort(key=lambda row: row.offset)
+        return Batch(rows, self.end, era=self.era)
 
     def merge_listing(self, listing):
-        """Merge a listing; of an older one only higher ranked records are used."""
-        if listing.end < self.end:
-            for entry in listing.entries:
-                self._merge_if_higher(entry)
-            return
+        """Merge a listing; of an older one only higher ranked records are used.
+
+        Return whether the listing is of the current era of the store.
+        """
+        if listing.era > self.era:
+            self._begin_era(listing)
+        elif listing.era < self.era or listing.end < self.end:
+            self._merge_higher(listing.entries)
+            return listing.era == self.era
         listed = {entry.key for entry in listing.entries}
         for entry in listing.entries:
             self._merge(entry)
@@ -153,14 +173,38 @@
             # removal, so peers with an older view get a listing too.
             self._first_known_offset = listing.end
         self.end = listing.end
+        return True
 
     def merge_batch(self, batch):
-        """Merge a batch that begins at our end offset or before it."""
+        """Merge a batch that begins at our end offset or before it.
+
+        Return whether the batch is of the current era of the store. Of an earlier one
+        only higher ranked records are used.
+        """
+        if batch.era < self.era:
+            self._merge_higher(batch.entries)
+            return False
         for entry in batch.entries:
             # An unknown key below our end was known before and has been removed.
             if entry.offset >= self.end or entry.key in self._entries:
                 self._merge(entry)
         self.end = max(self.end, batch.end)
+        return True
+
+    def _begin_era(self, listing):
+        """Let the known records precede all those of the restored store.
+
+        Its offsets say nothing about them. Those that it still has are in the listing.
+        """
+        self._entries = {
+            key: entry._replace(offset=_EARLIER_ERA_OFFSET)
+            for key, entry in self._entries.items()
+        }
+        removed = [row for row in self._entries.values() if row.value is None]
+        self._removed = collections.deque(removed)
+        self._first_known_offset = listing.end
+        self.era = listing.era
+        self.end = 0
 
     def _merge(self, entry):
         known = self._entries.get(entry.key)
@@ -176,10 +220,12 @@
             self._record_removal(entry)
         self._apply_or_keep(entry)
 
-    def _merge_if_higher(self, entry):
-        known = self._entries.get(entry.key)
-        if known is not None and _outranks(self._rank, entry, known):
-            self._merge(entry)
+    def _merge_higher(self, entries):
+        """Merge the entries that rank higher than the known one of their key."""
+        for entry in entries:
+            known = self._entries.get(entry.key)
+            if known is not None and _outranks(self._rank, entry, known):
+                self._merge(entry)
 
     def _merge_outranked(self, entry, known):
         """Keep the known record, with the offset of the outranked one.
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/view_sync.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/view_sync.py
@@ -12,7 +12,7 @@
 import urllib3
 
 from ..view_source import get_version
-from .topics import Batch, Entry, Listing
+from .topics import Batch, Entry, Listing, Position
 
 VIEW_PATH = "/fleet/view"
 # Maximum time between two checks; a report of a newer view triggers a check at once.
@@ -20,16 +20,21 @@
 _STORE_ANSWER_WAIT_S = 0.25
 _TIMEOUT_S = 0.5
 _MAX_BEHIND_S = 0.6
-# Lower than the end offset of an empty topic.
-_NEVER_READ_OFFSET = -1
+# Precedes the end of an empty topic.
+_NEVER_READ = Position(0, -1)
+_NOT_KNOWN = Position(0, 0)
 
 
 class TopicView(msgspec.Struct, array_like=True, frozen=True):
-    """Records of one topic; ``is_whole`` is true for a listing, false for changes."""
+    """Records of one topic; ``is_whole`` is true for a listing, false for changes.
+
+    ``era`` is the era of the store in which the offsets count.
+    """
 
     entries: list[tuple[str, bytes | None, int]]
     end: int
     is_whole: bool
+    era: int = 0
 
 
 # A topic without changes.
@@ -55,13 +60,34 @@
 _decoder = msgspec.msgpack.Decoder(View)
 
 
-def make_topic_view(follower, offset):
-    """Return the `TopicView` of the changes from ``offset`` on, 0 for all records."""
-    batch = follower.get_batch(offset) if offset else None
-    if batch is None:
-        listing = follower.get_listing()
-        return TopicView([tuple(e) for e in listing.entries], listing.end, True)
-    return TopicView([tuple(entry) for entry in batch.entries], batch.end, False)
+def format_position(position):
+    """Return a `Position` as a text: its offset, after the era if there is one.
+
+    Gateways of releases without eras understand the offset only, and return a whole
+    listing for any other text.
+    """
+    return f"{position.era}.{position.offset}" if position.era else f"{position.offset}"
+
+
+def parse_position(text):
+    """Return the `Position` in a text; the empty topic's if it is malformed."""
+    era, _, offset = text.rpartition(".")
+    if not offset.isdecimal() or era and not era.isdecimal():
+        return _NOT_KNOWN
+    return Position(int(era or 0), int(offset))
+
+
+def make_topic_view(follower, position):
+    """Return the `TopicView` of the changes from a `Position` on.
+
+    Offset 0 requests all records.
+    """
+    batch = None
+    if position.offset:
+        batch = follower.get_batch(position.offset, position.era)
+    update = follower.get_listing() if batch is None else batch
+    entries = [tuple(entry) for entry in update.entries]
+    return TopicView(entries, update.end, batch is None, update.era)
 
 
 def encode_view(catalog, instances, regained_age=-1.0, age=-1.0, quarantine=NO_CHANGE):
@@ -79,12 +105,14 @@
 
 
 def merge_topic_view(follower, view, source="peer"):
-    """Merge a `TopicView` from the peer ``source`` into a follower."""
+    """Merge a `TopicView` from the peer ``source`` into a follower.
+
+    Return whether it is of the current era of the store.
+    """
     entries = [Entry(*row) for row in view.entries]
     if view.is_whole:
-        follower.adopt(Listing(entries, view.end), source)
-    else:
-        follower.adopt_batch(Batch(entries, view.end), source)
+        return follower.adopt(Listing(entries, view.end, view.era), source)
+    return follower.adopt_batch(Batch(entries, view.end, era=view.era), source)
 
 
 class ViewSync:
@@ -117,41 +145,40 @@
 
     def find_newer_peer(self, now):
         """Return the live peer with the newest view if it is newer, or None."""
-        own_versions = (get_version(self._state), *self._get_own_offsets())
+        own_versions = (get_version(self._state), *self._get_own_positions())
         best = None
         for peer in self._state.members.get_live(now):
-            peer_versions = (peer.report.catalog_version, *peer.report.view_offsets)
+            peer_versions = (peer.report.catalog_version, *peer.report.view_positions)
             is_newer = any(map(operator.gt, peer_versions, own_versions))
             if is_newer and (best is None or peer_versions > best[0]):
                 best = (peer_versions, peer)
         return best[1] if best else None
 
-    def _get_own_offsets(self):
+    def _get_own_positions(self):
         state = self._state
-        quarantine = state.quarantine_offset
+        quarantine = state.quarantine_position
         if state.catalog_known and state.directory_known and not state.quarantine_known:
             # A gateway that stopped reading before it had listed an empty topic would
             # find no peer with a higher offset and would never be ready.
-            quarantine = _NEVER_READ_OFFSET
-        return (state.catalog_offset, state.directory_offset, quarantine)
+            quarantine = _NEVER_READ
+        return (state.catalog_position, state.directory_position, quarantine)
 
     def fetch(self, peer):
         """Fetch and merge the view of a peer; return whether it succeeded."""
         host = peer.address.rpartition(":")[0]
         url = f"http://{host}:{self._port}{VIEW_PATH}"
-        start_offsets = {
-            "catalog": self._get_catalog_start_offset(peer.report),
-            "instances": self._instances.end,
-            "quarantine": self._quarantine.end,
+        starts = {
+            "catalog": self._get_catalog_start(peer.report),
+            "instances": self._instances.position,
+            "quarantine": self._quarantine.position,
         }
+        fields = {name: format_position(start) for name, start in starts.items()}
         requested_at = self._state.clock()
         # Always use a new connection. An idle one may be dead, and detecting this takes
         # longer than opening another.
         self._pool.clear()
         try:
-            resp = self._pool.request(
-                "GET", url, fields=start_offsets, timeout=_TIMEOUT_S
-            )
+            resp = self._pool.request("GET", url, fields=fields, timeout=_TIMEOUT_S)
         except urllib3.exceptions.HTTPError:
             return False
         view = decode_view(resp.data) if resp.status == 200 else None
@@ -160,14 +187,14 @@
         self.merge_view(view, peer.host, requested_at)
         return True
 
-    def _get_catalog_start_offset(self, report):
-        """Return the offset from which to request configurations, 0 for all.
+    def _get_catalog_start(self, report):
+        """Return the `Position` from which to request configurations.
 
         A newer configuration may have an offset before our end, and is then missing
         from a batch of the changes since our end.
         """
         may_precede_end = report.catalog_version > get_version(self._state)
-        return 0 if may_precede_end else self._catalog.end
+        return _NOT_KNOWN if may_precede_end else self._catalog.position
 
     def merge_view(self, view, source, requested_at):
         """Merge the `View` of the peer ``source``, requested at ``requested_at``."""
@@ -179,10 +206,13 @@
             self._state.lapsed_records.mark_store_recovered(
                 requested_at - view.regained_age
             )
-        merge_topic_view(self._catalog, view.catalog, source)
-        merge_topic_view(self._instances, view.instances, source)
-        merge_topic_view(self._quarantine, view.quarantine, source)
-        if view.age >= 0.0:
+        merged = [
+            merge_topic_view(self._catalog, view.catalog, source),
+            merge_topic_view(self._instances, view.instances, source),
+            merge_topic_view(self._quarantine, view.quarantine, source),
+        ]
+        # A view of an earlier era may lack what the store holds since it was restored.
+        if view.age >= 0.0 and all(merged):
             self._state.freshness.record_peer_view(requested_at - view.age)
 
     def _run(self, stopped):
@@ -220,7 +250,7 @@
         delay = _STORE_ANSWER_WAIT_S if self._read_policy.reads_store() else 0.0
         if behind < delay:
             return None
-        previous_ends = self._get_end_offsets()
+        previous = self._get_positions()
         merged = self.fetch(peer)
         self._state.log.note(
             "view from peer",
@@ -228,12 +258,15 @@
             peer=peer.host,
             taken=merged,
             behind_s=round(behind, 3),
-            offsets_before=previous_ends,
-            offsets=self._get_end_offsets(),
+            offsets_before=[position.offset for position in previous],
+            offsets=[position.offset for position in self._get_positions()],
+            eras=[position.era for position in self._get_positions()],
             peer_offsets=peer.report.view_offsets,
+            peer_eras=peer.report.eras,
             report_age_s=round(now - peer.received_at, 3),
         )
         return merged
 
-    def _get_end_offsets(self):
-        return (self._catalog.end, self._instances.end, self._quarantine.end)
+    def _get_positions(self):
+        followers = (self._catalog, self._instances, self._quarantine)
+        return tuple(follower.position for follower in followers)
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
@@ -101,9 +101,9 @@
             self._last_decoded = (value, catalog)
         return catalog
 
-    def record_catalog_offset(self, offset):
-        """Record the offset up to which the configuration topic is known."""
-        self._state.catalog_offset = offset
+    def record_catalog_position(self, position):
+        """Record the `Position` up to which the configuration topic is known."""
+        self._state.catalog_position = position
         self._state.catalog_known = True
 
     def _apply_evacuation(self, domain, entry):
@@ -177,7 +177,7 @@
                 old = self._state.directory.remove(instance_id)
                 if old is not None:
                     self._discard_state(
-                        old, self._state.directory_offset, "upstream gone"
+                        old, self._state.directory_position.offset, "upstream gone"
                     )
 
     def _remove(self, entry):
@@ -289,17 +289,17 @@
             self._state, fingerprint, record, self._state.clock()
         )
 
-    def record_quarantine_offset(self, offset):
-        """Record the offset up to which quarantines are known."""
+    def record_quarantine_position(self, position):
+        """Record the `Position` up to which quarantines are known."""
         self._state.quarantine_known = True
-        self._state.quarantine_offset = offset
+        self._state.quarantine_position = position
 
-    def record_directory_offset(self, offset):
-        """Record the offset up to which instances are known."""
+    def record_directory_position(self, position):
+        """Record the `Position` up to which instances are known."""
         self._state.directory_known = True
-        self._state.directory_offset = offset
+        self._state.directory_position = position
 
-    def mark_members_known(self, offset):
+    def mark_members_known(self, position):
         """Mark all gateways in the store's list as known."""
         self._state.members_known = True
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
@@ -11,13 +11,14 @@
 class ViewUpdate(NamedTuple):
     """The last update of the view of a topic.
 
-    ``begin`` and ``end`` are the end offsets of the view before and after the update.
+    ``begin`` and ``end`` are the ends of the view before and after the update, as
+    `topics.Position`.
     ``source`` is `STORE` or the host of a peer. ``is_listing`` is true for a listing of
     all keys and false for a batch of changes. ``at`` is on the monotonic clock.
     """
 
-    begin: int
-    end: int
+    begin: NamedTuple
+    end: NamedTuple
     source: str
     is_listing: bool
     at: float
@@ -26,13 +27,13 @@
 def is_newer(report, state):
     """Return whether a peer's view is newer than ours, according to its report.
 
-    The version of the configuration is compared as well as the offsets. At the same
-    offset two gateways may have different versions if one of them read the topic after
-    some of its records had been deleted.
+    The version of the configuration is compared as well as the positions. At the same
+    position two gateways may have different versions if one of them read the topic
+    after some of its records had been deleted.
     """
     if report.catalog_version > get_version(state):
         return True
-    return any(map(operator.gt, report.view_offsets, state.view_offsets))
+    return any(map(operator.gt, report.view_positions, state.view_positions))
 
 
 def get_version(state):
@@ -48,7 +49,8 @@
 def describe_view(state, now):
     """Return log fields on the age and the origin of the view of the instances."""
     fields = {
-        "view_offset": state.directory_offset,
+        "view_era": state.directory_position.era,
+        "view_offset": state.directory_position.offset,
         "view_age_s": state.freshness.get_rounded_age(now),
         "reads_store": state.reads_store,
     }
@@ -69,7 +71,8 @@
         "peers_version": max(
             (row.report.catalog_version for row in peers), default=None
         ),
-        "catalog_offset": state.catalog_offset,
+        "catalog_era": state.catalog_position.era,
+        "catalog_offset": state.catalog_position.offset,
         "in_force_s": None if since is None else round(now - since, 3),
         "view_age_s": state.freshness.get_rounded_age(now),
         "view_from": None if update is None else update.source,
--- a/packages/valeweir_standins/src/valeweir_standins/wires.py
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -19,6 +19,7 @@
 from valeweir_gateway.settings import Sharing, Store, Upstreams
 from valeweir_gateway.upstreams.connections import Connections
 from valeweir_gateway.view.directory import Directory
+from valeweir_gateway.view.topics import Position
 
 TICK_S = 0.05
 _WINDOW_S = 4.0
@@ -107,13 +108,13 @@
         catalog=None,
         connections=Connections(clock),
         directory=Directory(),
-        directory_offset=0,
-        catalog_offset=0,
+        directory_position=Position(0, 0),
+        catalog_position=Position(0, 0),
         freshness=Freshness(),
         notices=collections.deque(),
         suspects=Suspects(),
         quarantine=Quarantine(),
-        quarantine_offset=0,
+        quarantine_position=Position(0, 0),
         loads=loads,
         peer_failures=PeerFailures(loads, random.Random(member.host)),
         log=SimpleNamespace(note=lambda *args, **fields: None),
@@ -121,7 +122,7 @@
         members_known=True,
         member_record=None,
         newer_view=threading.Event(),
-        view_offsets=(0, 0, 0),
+        view_positions=(Position(0, 0),) * 3,
         reads=Reads(),
         retries=RetryBudget(0.2, 58, 10.0),
         shares=Shares(usage, Sharing(window=_WINDOW_S)),
