--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -292,6 +292,9 @@
             self._refused = start
             raise
         self._record_answer(call, batch.era)
+        if _is_of_another_era(batch, start):
+            self._needs_listing = True
+            return
         self._merge_batch(batch, start)
         # An answer without records is sent only after the requested wait.
         waited = 0.0 if batch.entries else call.wait
@@ -305,6 +308,8 @@
                 self._topic, start.offset, call.wait, anew=True, timeout=timeout
             )
         except HistoryExpired:
+            batch = None
+        if batch is None or _is_of_another_era(batch, start):
             listing = self._get_listing(anew=True)
             self._record_answer(call, listing.era)
             self._merge_listing(listing, start)
@@ -498,3 +503,12 @@
         self._log.note(
             event, failed=not is_available, topic=self._topic, why=why, view_age_s=age
         )
+
+
+def _is_of_another_era(batch, start):
+    """Return whether the offset of the `Position` ``start`` means nothing in a batch.
+
+    The restored store may have new records up to that offset, and then answers as if
+    nothing had happened.
+    """
+    return batch.era not in (0, start.era)
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -178,10 +178,10 @@
     def merge_batch(self, batch):
         """Merge a batch that begins at our end offset or before it.
 
-        Return whether the batch is of the current era of the store. Of an earlier one
-        only higher ranked records are used.
+        Return whether the batch is of the current era of the store. Of another one only
+        higher ranked records are used.
         """
-        if batch.era < self.era:
+        if batch.era != self.era:
             self._merge_higher(batch.entries)
             return False
         for entry in batch.entries:
