--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -1,5 +1,6 @@
 """Continuous reading of a topic of the platform's store."""
 
+import math
 import threading
 from typing import NamedTuple
 
@@ -26,6 +27,9 @@
 # An answer is overdue after this time beyond the requested wait, which is the answer
 # time of a slow store.
 _OVERDUE_S = 0.3
+# Time after a restore of the store in which writers write again what it has lost. The
+# records of upstreams that run are back within 2 s; operators may take longer.
+_SETTLE_S = 10.0
 
 
 class StoreCall(NamedTuple):
@@ -70,8 +74,11 @@
         Returns whether the topic no longer has to be read.
     on_update : callable
         Called with the topic and the `view_source.ViewUpdate` of each listing or batch.
-    rank : callable
+    rank, keeps, withholds : callable
         As for `topics.TopicRecords`.
+    on_restored : callable
+        Called after the store was restored from a copy, with the entries that it lacks
+        and are kept, and with those that it has again and are withheld.
     """
 
     def __init__(
@@ -91,11 +98,17 @@
         wait_until_wanted=lambda stopped: stopped.wait(_IDLE_CHECK_S),
         is_done=lambda: False,
         rank=lambda entry: None,
+        keeps=lambda entry: False,
+        withholds=lambda entry: False,
+        on_restored=lambda unconfirmed, withheld: None,
     ):
         self._store = store
         self._topic = topic
         self._rank = rank
-        self._records = TopicRecords(apply, self._log_unapplied, rank)
+        self._records = TopicRecords(apply, self._log_unapplied, rank, keeps, withholds)
+        # When what a restored store lacks or has again is taken over.
+        self._settle_at = math.inf
+        self._on_restored = on_restored
         self._on_merged = on_merged
         self._log = log
         self._poll = poll
@@ -223,6 +236,14 @@
         with self._lock:
             self._records.retry_unapplied(self._records.get_unapplied())
 
+    def settle(self, now):
+        """Take over what a restored store lacks or has again, if it is due."""
+        if now < self._settle_at:
+            return
+        with self._lock:
+            self._settle_at = math.inf
+            self._records.settle()
+
     @property
     def is_unavailable(self):
         """Return whether the last call of the store failed."""
@@ -471,15 +492,18 @@
             unapplied = self._records.get_unapplied()
             merged = merge(update)
             self._records.retry_unapplied(unapplied)
-            if 0 < begin.era < self.position.era:
-                self._log_restore(begin, source)
             at = self._clock()
+            if 0 < begin.era < self.position.era:
+                self._settle_at = at + _SETTLE_S
+                self._handle_restore(begin, source)
             view_update = ViewUpdate(begin, self.position, source, is_listing, at)
             self._on_update(self._topic, view_update)
             self._on_merged(self.position)
         return merged
 
-    def _log_restore(self, previous, source):
+    def _handle_restore(self, previous, source):
+        unconfirmed = self._records.get_unconfirmed()
+        withheld = self._records.get_withheld()
         self._log.note(
             "store restored",
             topic=self._topic,
@@ -488,7 +512,10 @@
             offset=previous.offset,
             store_end=self.end,
             source=source,
+            unconfirmed=len(unconfirmed),
+            withheld=len(withheld),
         )
+        self._on_restored(unconfirmed, withheld)
 
     def _set_available(self, is_available, why):
         if is_available == self._is_available:
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/refresher.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/refresher.py
@@ -55,8 +55,10 @@
                 self._state.log.note("view not refreshed", failed=True, why=repr(exc))
 
     def check(self, now):
-        """Refresh and retry what is due; blocks during calls of the store."""
+        """Refresh, retry and settle what is due; blocks during calls of the store."""
         self._retry_unapplied(now)
+        for follower in self._followers:
+            follower.settle(now)
         if (
             now < self._next_refresh
             or not self._is_due(now)
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
@@ -38,6 +38,9 @@
         wait_until_wanted=read_policy.wait_until_reading,
         is_done=lambda: False,
         rank=lambda entry: None,
+        keeps=lambda entry: False,
+        withholds=lambda entry: False,
+        on_restored=ignore,
     ):
         return TopicFollower(
             adapter.store,
@@ -55,6 +58,9 @@
             wait_until_wanted,
             is_done,
             rank,
+            keeps,
+            withholds,
+            on_restored,
         )
 
     def mark_members_known(position):
@@ -67,11 +73,15 @@
             updater.apply_catalog,
             updater.record_catalog_position,
             rank=updater.rank_catalog,
+            keeps=lambda entry: True,
+            withholds=lambda entry: True,
         ),
         follow(
             adapter.instance_topic,
             updater.apply_instance,
             updater.record_directory_position,
+            # Upstreams that the store lacks are retained as lapsed ones.
+            withholds=updater.is_unknown_instance,
         ),
         follow(
             adapter.quarantine_topic,
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -105,17 +105,34 @@
         Called with an `Entry`; returns its rank, or None if its key is not ranked. Of
         two records of a ranked key the higher one is in force, regardless of offsets;
         of an unranked key the newest one.
+    keeps : callable
+        Called with a known `Entry` that a restored store lacks; returns whether it
+        stays in force until it is written again or `settle` is called.
+    withholds : callable
+        Called with an `Entry` of a removed key that a restored store has again; returns
+        whether it is not applied until then.
     """
 
     def __init__(
-        self, apply, on_error=lambda entry, exc: None, rank=lambda entry: None
+        self,
+        apply,
+        on_error=lambda entry, exc: None,
+        rank=lambda entry: None,
+        keeps=lambda entry: False,
+        withholds=lambda entry: False,
     ):
         self._apply = apply
         self._rank = rank
+        self._keeps = keeps
+        self._withholds = withholds
         self._on_error = on_error
         self._entries = {}
         # Records that could not be applied yet, by key.
         self._unapplied = {}
+        # Keys of the known records that the restored store lacks.
+        self._unconfirmed = set()
+        # Records of removed keys that the restored store has again, by key.
+        self._withheld = {}
         self._removed = collections.deque()
         # All changes from this offset on are known, including removals.
         self._first_known_offset = 0
@@ -137,10 +154,29 @@
             if self._unapplied.get(entry.key) is entry:
                 self._apply_or_keep(entry)
 
+    def get_unconfirmed(self):
+        """Return the known records that the restored store lacks."""
+        return [self._entries[key] for key in self._unconfirmed]
+
+    def get_withheld(self):
+        """Return the records of removed keys that the restored store has again."""
+        return list(self._withheld.values())
+
     def get_listing(self):
-        """Return all known records as a `Listing`."""
-        present = [e for e in self._entries.values() if e.value is not None]
-        return Listing(present, self.end, self.era)
+        """Return all records of the store's current era as a `Listing`.
+
+        Each gateway decides by its own view what to do with the records that a restored
+        store lacks or has again.
+        """
+        present = [
+            entry
+            for entry in self._entries.values()
+            if entry.value is not None and self._is_listed(entry)
+        ]
+        return Listing(present + self.get_withheld(), self.end, self.era)
+
+    def _is_listed(self, entry):
+        return entry.key not in self._unconfirmed or self._rank(entry) is not None
 
     def get_batch(self, offset, era=0):
         """Return a `Batch` of the changes from ``offset`` on, None if unknown."""
@@ -155,18 +191,23 @@
 
         Return whether the listing is of the current era of the store.
         """
-        if listing.era > self.era:
+        is_restored = listing.era > self.era
+        if is_restored:
             self._begin_era(listing)
         elif listing.era < self.era or listing.end < self.end:
             self._merge_higher(listing.entries)
             return listing.era == self.era
         listed = {entry.key for entry in listing.entries}
+        self._withheld = {k: e for k, e in self._withheld.items() if k in listed}
         for entry in listing.entries:
             self._merge(entry)
         present = {e.key for e in self._entries.values() if e.value is not None}
-        for key in present - listed:
+        for key in present - listed - self._unconfirmed:
             # The key was removed between two reads.
             self._merge(Entry(key, None, listing.end - 1))
+            if is_restored and self._entries[key].value is None:
+                # Its removal is not known, so its next record must not be withheld.
+                del self._entries[key]
         if listing.end > self.end:
             # A listing omits keys that were written and removed since our end. A peer
             # with such a key would keep it forever if it got the changes without the
@@ -200,13 +241,46 @@
             key: entry._replace(offset=_EARLIER_ERA_OFFSET)
             for key, entry in self._entries.items()
         }
-        removed = [row for row in self._entries.values() if row.value is None]
-        self._removed = collections.deque(removed)
+        removed = {key: row for key, row in self._entries.items() if row.value is None}
+        self._removed = collections.deque(removed.values())
+        self._withheld = {
+            entry.key: entry
+            for entry in listing.entries
+            if entry.key in removed and self._withholds(entry)
+        }
+        listed = {entry.key for entry in listing.entries}
+        self._unconfirmed = {
+            key
+            for key, entry in self._entries.items()
+            if key not in removed and key not in listed and self._keeps(entry)
+        }
         self._first_known_offset = listing.end
         self.era = listing.era
         self.end = 0
 
+    def settle(self):
+        """Take over what the restored store still lacks, and what it still has."""
+        withheld, self._withheld = self._withheld, {}
+        unconfirmed, self._unconfirmed = self._unconfirmed, set()
+        for entry in withheld.values():
+            self._merge(entry)
+        for key in unconfirmed:
+            self._merge(Entry(key, None, self.end - 1))
+
+    def _is_withheld(self, entry):
+        """Return whether an entry is withheld; a later record of its key ends that."""
+        withheld = self._withheld.get(entry.key)
+        if withheld is None:
+            return False
+        if entry.offset > withheld.offset:
+            del self._withheld[entry.key]
+            return False
+        return True
+
     def _merge(self, entry):
+        if self._is_withheld(entry):
+            return
+        self._unconfirmed.discard(entry.key)
         known = self._entries.get(entry.key)
         if known is not None and _outranks(self._rank, known, entry):
             self._merge_outranked(entry, known)
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
@@ -303,6 +303,10 @@
         """Mark all gateways in the store's list as known."""
         self._state.members_known = True
 
+    def is_unknown_instance(self, entry):
+        """Return whether an entry of the instances topic is of no known upstream."""
+        return self._find_instance(entry.key) is None
+
     def _find_instance(self, key):
         """Return the current instance of a key of the instances topic, or None."""
         instance_id = self._ids_by_key.get(key)
--- a/packages/valeweir_gateway/tests/test_refreshing.py
+++ b/packages/valeweir_gateway/tests/test_refreshing.py
@@ -34,6 +34,9 @@
     def mark_outage(self):
         self.outages += 1
 
+    def settle(self, now):
+        pass
+
     def retry_unapplied(self):
         self.applied += 1
 
--- a/packages/valeweir_gateway/tests/test_topics.py
+++ b/packages/valeweir_gateway/tests/test_topics.py
@@ -5,6 +5,7 @@
     Batch,
     Entry,
     Listing,
+    Position,
     TopicRecords,
     restore_highest_ranked,
 )
@@ -109,3 +110,117 @@
     def test_listing_without_history(self):
         listing = Listing([make(5, 3)], 4)
         self.assertEqual(restore_highest_ranked(listing, [], rank), listing)
+
+
+# Guards against offsets of an earlier era that are compared with those of a later one.
+class TestEras(TopicCase):
+    def setUp(self):
+        super().setUp()
+        rows = [make(4, 0), make(9, 1), make(1, 2, "other"), make(1, 3, "lost")]
+        self.records.merge_listing(Listing(rows, 20, era=1))
+        self.applied.clear()
+
+    def test_shorter_listing_of_a_later_era_replaces_the_view(self):
+        rows = [make(9, 1), make(2, 5, "other")]
+        self.assertTrue(self.records.merge_listing(Listing(rows, 6, era=2)))
+        self.assertEqual(self.records.position, Position(2, 6))
+        self.assertEqual(self.get_value(key="other"), b"2")
+        keys = {entry.key for entry in self.records.get_listing().entries}
+        self.assertEqual(keys, {KEY, "other"})
+
+    def test_version_never_reverts(self):
+        for end in (0, 2, 30):
+            with self.subTest(end=end):
+                rows = [make(4, 0)] if end else []
+                era = self.records.era + 1
+                self.records.merge_listing(Listing(rows, end, era))
+                self.assertEqual(self.get_value(), b"9")
+
+    def test_answer_of_an_earlier_era_adds_only_higher_versions(self):
+        self.records.merge_listing(Listing([make(9, 1)], 2, era=2))
+        late = [make(11, 21), make(3, 22, "other")]
+        self.assertFalse(self.records.merge_listing(Listing(late, 23, era=1)))
+        self.assertFalse(self.records.merge_batch(Batch(late, 23, era=1)))
+        self.assertEqual(self.get_value(), b"11")
+        self.assertEqual(self.records.position, Position(2, 2))
+        self.assertEqual(len(self.records.get_listing().entries), 1)
+
+    def test_batch_of_a_later_era_does_not_move_the_position(self):
+        self.assertFalse(self.records.merge_batch(Batch([], 25, era=2)))
+        self.assertEqual(self.records.position, Position(1, 20))
+
+    def test_peers_of_another_era_get_a_listing(self):
+        self.records.merge_listing(Listing([make(9, 1)], 2, era=2))
+        self.assertIsNone(self.records.get_batch(20, era=1))
+        self.assertIsNone(self.records.get_batch(1, era=2))
+        self.assertEqual(self.records.get_batch(2, era=2), Batch([], 2, era=2))
+
+    def test_twice_in_a_row(self):
+        for era, end in ((2, 12), (3, 3), (4, 40)):
+            self.records.merge_listing(Listing([make(5, 1, "other")], end, era))
+            self.assertEqual(self.records.position, Position(era, end))
+        self.assertEqual(self.get_value(), b"9")
+        self.assertEqual(self.get_value(key="other"), b"5")
+
+
+# Guards against records that revert after a restore until they are written again.
+class TestRestoredRecords(unittest.TestCase):
+    def setUp(self):
+        self.applied = {}
+        self.records = TopicRecords(
+            lambda entry: self.applied.update({entry.key: entry.value}),
+            keeps=lambda entry: entry.key != "plain",
+            withholds=lambda entry: entry.key != "plain",
+        )
+        rows = [Entry(key, b"1", 0) for key in ("lost", "plain", "stays")]
+        self.records.merge_listing(Listing(rows, 8, era=1))
+        self.records.merge_batch(Batch([Entry("back", b"1", 8)], 9, era=1))
+        self.records.merge_batch(Batch([Entry("back", None, 9)], 10, era=1))
+
+    def restore(self, *rows, era=2):
+        rows = [Entry("stays", b"1", 0), *rows]
+        self.records.merge_listing(Listing(rows, 5, era))
+
+    def test_lost_record_is_kept_until_the_view_settles(self):
+        self.restore()
+        self.assertEqual(self.applied["lost"], b"1")
+        self.assertIsNone(self.applied["plain"])
+        self.records.settle()
+        self.assertIsNone(self.applied["lost"])
+
+    def test_record_that_is_written_again_stays(self):
+        self.restore()
+        self.records.merge_batch(Batch([Entry("lost", b"2", 5)], 6, era=2))
+        self.records.settle()
+        self.assertEqual(self.applied["lost"], b"2")
+
+    def test_removed_record_is_withheld_until_the_view_settles(self):
+        self.restore(Entry("back", b"1", 4))
+        self.assertIsNone(self.applied["back"])
+        self.records.settle()
+        self.assertEqual(self.applied["back"], b"1")
+
+    def test_removal_that_is_written_again_ends_the_withholding(self):
+        self.restore(Entry("back", b"1", 4))
+        self.records.merge_batch(Batch([Entry("back", None, 5)], 6, era=2))
+        self.records.settle()
+        self.assertIsNone(self.applied["back"])
+
+    def test_new_record_of_a_removed_key_is_applied(self):
+        self.restore(Entry("back", b"1", 4))
+        self.records.merge_batch(Batch([Entry("back", b"2", 5)], 6, era=2))
+        self.assertEqual(self.applied["back"], b"2")
+
+    def test_key_that_a_copy_lacked_is_not_withheld_in_the_next(self):
+        self.restore()
+        self.restore(Entry("plain", b"1", 1), Entry("back", b"1", 4), era=3)
+        self.assertEqual(self.applied["plain"], b"1")
+        self.assertIsNone(self.applied["back"])
+
+    def test_peers_get_what_the_store_has(self):
+        self.restore(Entry("back", b"1", 4))
+        keys = {entry.key for entry in self.records.get_listing().entries}
+        self.assertEqual(keys, {"stays", "back"})
+        self.records.merge_listing(self.records.get_listing())
+        self.assertIsNone(self.applied["back"])
+        self.assertEqual(self.applied["lost"], b"1")
