--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
@@ -144,6 +144,28 @@
             fingerprint=text,
             **_describe_record(record),
         )
+    if not state.quarantine.is_stored(fingerprint):
+        # The store has gone back to a record before the last trial.
+        state.quarantine_store.schedule_write(fingerprint, observed=False)
+
+
+def restore_records(state, missing, returned):
+    """Write again what a restored store has lost of the fleet's own records.
+
+    Parameters
+    ----------
+    missing : iterable of int
+        Fingerprints of requests whose quarantine the store has lost.
+    returned : iterable of int
+        Fingerprints of released requests whose quarantine it has again.
+    """
+    for fingerprint in missing:
+        state.quarantine.mark_not_stored(fingerprint)
+        if fingerprint in state.quarantine:
+            state.quarantine_store.schedule_write(fingerprint, observed=False)
+    for fingerprint in returned:
+        if fingerprint not in state.quarantine:
+            state.quarantine_store.schedule_removal(fingerprint, observed=False)
 
 
 def release(state, fingerprint):
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/quarantine_store.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/quarantine_store.py
@@ -155,9 +155,14 @@
             return False
         counted = record.count_trial()
         try:
-            self._store.put(self._topic, key, encode_record(counted), at=listing.end)
+            era = self._store.put(
+                self._topic, key, encode_record(counted), at=listing.end
+            )
         except Conflict:
             return False
+        if era != listing.era:
+            # The restored store has assigned the offset again.
+            return False
         state.quarantine.put(fingerprint, counted, state.clock(), stored=True)
         return True
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/records.py
@@ -146,6 +146,10 @@
         """Return whether the newest record is known to be in the store."""
         return fingerprint in self._stored
 
+    def mark_not_stored(self, fingerprint):
+        """Record that the store has lost the newest record of a request."""
+        self._stored.discard(fingerprint)
+
     def put(self, fingerprint, record, now, stored=False):
         """Quarantine a request; return whether it was not quarantined before.
 
@@ -158,6 +162,7 @@
                 self._stored.discard(fingerprint)
             elif _get_rank(record) < _get_rank(known.record):
                 stored = False
+                self._stored.discard(fingerprint)
             if stored:
                 self._stored.add(fingerprint)
             if len(self._entries) > _MAX_ENTRY_COUNT:
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -44,8 +44,8 @@
         """Use another address of the same store for later calls."""
 
     def put(self, topic, key, value, at=None):
-        """Append a record; it may have been written even if the call raises.
+        """Append a record, and return the era of the store.
 
-        A ``value`` of None removes the key. With ``at``, raise `Conflict` unless the
-        topic ends at this offset.
+        It may have been written even if the call raises. A ``value`` of None removes
+        the key. With ``at``, raise `Conflict` unless the topic ends at this offset.
         """
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
@@ -92,6 +92,9 @@
             on_complete=ignore,
             poll=lambda: state.cfg.store.quarantine_poll,
             on_recovered=ignore,
+            keeps=lambda entry: True,
+            withholds=lambda entry: True,
+            on_restored=updater.restore_quarantines,
         ),
         follow(
             adapter.member_topic,
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
@@ -1,5 +1,6 @@
 """Application of the store's records to the state of the gateway."""
 
+import contextlib
 import threading
 
 import xxhash
@@ -289,6 +290,11 @@
             self._state, fingerprint, record, self._state.clock()
         )
 
+    def restore_quarantines(self, unconfirmed, withheld):
+        """Write again the quarantines, and their removals, that the store has lost."""
+        missing, returned = map(_parse_fingerprints, (unconfirmed, withheld))
+        crash_attribution.restore_records(self._state, missing, returned)
+
     def record_quarantine_position(self, position):
         """Record the `Position` up to which quarantines are known."""
         self._state.quarantine_known = True
@@ -347,6 +353,15 @@
             self._state.bad_keys = len(self._bad_keys)
 
 
+def _parse_fingerprints(entries):
+    """Return the fingerprints in the keys of entries, without malformed ones."""
+    fingerprints = []
+    for entry in entries:
+        with contextlib.suppress(ValueError):
+            fingerprints.append(parse_fingerprint(entry.key))
+    return fingerprints
+
+
 def _is_unchanged(old, instance):
     """Return whether a record differs from the known one only in its sequence."""
     return old is not None and old._replace(sequence=instance.sequence) == instance
