--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -71,7 +71,13 @@
             state, adapter.store, adapter.quarantine_topic
         )
         self._updater = ViewUpdater(state, adapter)
-        self._followers = create_followers(state, adapter, read_policy, self._updater)
+        self._followers = create_followers(
+            state,
+            adapter,
+            read_policy,
+            self._updater,
+            lambda: self._publisher.check_restored_store(self.stopped),
+        )
         state.freshness.has_unapplied_records = self._has_unapplied_records
         self._fleet_server = create_server(
             listen.fleet,
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/publisher.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/publisher.py
@@ -9,6 +9,10 @@
 # Maximum wait for the list of members, which may contain this gateway's record.
 _LISTING_TIMEOUT_S = 1.0
 _LISTING_CHECK_S = 0.02
+# Bounds of the delay before a gateway checks whether a restored store has its record.
+# The upper one grows with the fleet, as all its gateways check.
+_MIN_CHECK_DELAY_S = 0.5
+_CHECK_DELAY_PER_MEMBER_S = 0.1
 
 
 class Publisher:
@@ -32,12 +36,39 @@
 
     def run(self, stopped):
         """Publish with exponential backoff until it succeeds or ``stopped`` is set."""
+        self._wait_for_listing(stopped)
+        self._publish(stopped, lambda: self._state.member_record)
+
+    def check_restored_store(self, stopped):
+        """Publish again, in a separate thread, if the store has lost the record."""
+        threading.Thread(
+            target=self.publish_if_lost,
+            args=(stopped,),
+            name="publish-again",
+            daemon=True,
+        ).start()
+
+    def publish_if_lost(self, stopped):
+        """Publish after a random delay if the store has lost the record."""
+        state = self._state
+        spread = _CHECK_DELAY_PER_MEMBER_S * len(state.members)
+        delay = state.rng.uniform(_MIN_CHECK_DELAY_S, _MIN_CHECK_DELAY_S + spread)
+        if not stopped.wait(delay):
+            self._publish(stopped, self._get_stored_record)
+
+    def _get_stored_record(self):
+        entries = self._store.list_newest(self._topic).entries
+        rows = {entry.key: entry.value for entry in entries}
+        return rows.get(self._state.cfg.host)
+
+    def _publish(self, stopped, get_known):
+        """Publish unless ``get_known`` returns the record; it may call the store."""
         delay = _FIRST_RETRY_DELAY_S
         record = self.make_record()
-        self._wait_for_listing(stopped)
-        while not stopped.is_set() and self._state.member_record != record:
+        while not stopped.is_set():
             try:
-                self._store.put(self._topic, self._state.cfg.host, record)
+                if get_known() != record:
+                    self._store.put(self._topic, self._state.cfg.host, record)
                 return
             except PlatformUnavailable as exc:
                 self._state.log.note("address not published", failed=True, why=str(exc))
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
@@ -18,8 +18,11 @@
     members: TopicFollower
 
 
-def create_followers(state, adapter, read_policy, updater):
-    """Return the `Followers` whose records a `views.ViewUpdater` applies."""
+def create_followers(state, adapter, read_policy, updater, on_restored):
+    """Return the `Followers` whose records a `views.ViewUpdater` applies.
+
+    ``on_restored`` is called after the store was restored from a copy.
+    """
 
     def ignore(*_):
         pass
@@ -75,6 +78,7 @@
             rank=updater.rank_catalog,
             keeps=lambda entry: True,
             withholds=lambda entry: True,
+            on_restored=lambda unconfirmed, withheld: on_restored(),
         ),
         follow(
             adapter.instance_topic,
--- a/packages/valeweir_gateway/tests/test_publishing.py
+++ b/packages/valeweir_gateway/tests/test_publishing.py
@@ -4,6 +4,7 @@
 from valeweir.exceptions import PlatformUnavailable
 from valeweir_gateway.fleet.members import Member
 from valeweir_gateway.view.publisher import Publisher
+from valeweir_gateway.view.topics import Entry, Listing
 from viewing import make_state
 
 
@@ -11,6 +12,10 @@
     def __init__(self, failure_count=0):
         self.failure_count = failure_count
         self.puts = []
+        self.entries = []
+
+    def list_newest(self, topic):
+        return Listing(self.entries, 4)
 
     def put(self, topic, key, value):
         self.puts.append((topic, key, value))
@@ -63,3 +68,15 @@
         self.store.failure_count = 1
         self.run_publisher()
         self.assertEqual(len(self.store.puts), 2)
+
+    # Guards against gateways that cannot be found after a restore of the store.
+    def test_lost_record_is_written_again(self):
+        self.state.member_record = self.publisher.make_record()
+        self.store.failure_count = 1
+        self.publisher.publish_if_lost(threading.Event())
+        self.assertEqual(len(self.store.puts), 2)
+
+    def test_record_that_the_store_still_has_is_not_written_again(self):
+        self.store.entries = [Entry("a", self.publisher.make_record(), 3)]
+        self.publisher.publish_if_lost(threading.Event())
+        self.assertEqual(self.store.puts, [])
