--- a/packages/valeweir_gateway/src/valeweir_gateway/view/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/directory.py
@@ -17,7 +17,8 @@
     inherits nothing. ``announced_as`` is the id in its records, which a later
     incarnation may share; it is empty if both ids are the same. ``warming`` is the
     remaining warm-up time in seconds as of its record. ``sequence`` increases with each
-    record that an incarnation writes.
+    record that an incarnation writes. ``started_at`` is its start time in milliseconds
+    since the epoch, None if it is unknown.
     """
 
     id: str
@@ -29,6 +30,7 @@
     warming: float = 0.0
     announced_as: str = ""
     sequence: int = 0
+    started_at: int | None = None
 
     @property
     def announced_id(self):
@@ -51,6 +53,12 @@
     return is_same_incarnation and returns and instance.sequence < known.sequence
 
 
+def started_earlier(instance, known):
+    """Return whether an incarnation is known to have started before another one."""
+    starts = (instance.started_at, known.started_at)
+    return None not in starts and starts[0] < starts[1]
+
+
 class RecordPosition(NamedTuple):
     """Offset and arrival time (monotonic clock) of the last record of an instance."""
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -99,7 +99,7 @@
         is_done=lambda: False,
         rank=lambda entry: None,
         keeps=lambda entry: False,
-        withholds=lambda entry: False,
+        withholds=lambda entry, known: False,
         on_restored=lambda unconfirmed, withheld: None,
     ):
         self._store = store
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
@@ -42,7 +42,7 @@
         is_done=lambda: False,
         rank=lambda entry: None,
         keeps=lambda entry: False,
-        withholds=lambda entry: False,
+        withholds=lambda entry, known: False,
         on_restored=ignore,
     ):
         return TopicFollower(
@@ -66,6 +66,9 @@
             on_restored,
         )
 
+    def is_removal(entry, known):
+        return known.value is None
+
     def mark_members_known(position):
         updater.mark_members_known(position)
         read_policy.mark_members_read()
@@ -77,7 +80,7 @@
             updater.record_catalog_position,
             rank=updater.rank_catalog,
             keeps=lambda entry: True,
-            withholds=lambda entry: True,
+            withholds=is_removal,
             on_restored=lambda unconfirmed, withheld: on_restored(),
         ),
         follow(
@@ -85,7 +88,7 @@
             updater.apply_instance,
             updater.record_directory_position,
             # Upstreams that the store lacks are retained as lapsed ones.
-            withholds=updater.is_unknown_instance,
+            withholds=updater.withholds_instance,
         ),
         follow(
             adapter.quarantine_topic,
@@ -97,7 +100,7 @@
             poll=lambda: state.cfg.store.quarantine_poll,
             on_recovered=ignore,
             keeps=lambda entry: True,
-            withholds=lambda entry: True,
+            withholds=is_removal,
             on_restored=updater.restore_quarantines,
         ),
         follow(
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -109,8 +109,8 @@
         Called with a known `Entry` that a restored store lacks; returns whether it
         stays in force until it is written again or `settle` is called.
     withholds : callable
-        Called with an `Entry` of a removed key that a restored store has again; returns
-        whether it is not applied until then.
+        Called with an `Entry` of a restored store and the known one of its key; returns
+        whether it is not applied until then, as it had been removed or replaced.
     """
 
     def __init__(
@@ -119,7 +119,7 @@
         on_error=lambda entry, exc: None,
         rank=lambda entry: None,
         keeps=lambda entry: False,
-        withholds=lambda entry: False,
+        withholds=lambda entry, known: False,
     ):
         self._apply = apply
         self._rank = rank
@@ -131,7 +131,7 @@
         self._unapplied = {}
         # Keys of the known records that the restored store lacks.
         self._unconfirmed = set()
-        # Records of removed keys that the restored store has again, by key.
+        # Removed or replaced records that the restored store has again, by key.
         self._withheld = {}
         self._removed = collections.deque()
         # All changes from this offset on are known, including removals.
@@ -159,7 +159,7 @@
         return [self._entries[key] for key in self._unconfirmed]
 
     def get_withheld(self):
-        """Return the records of removed keys that the restored store has again."""
+        """Return the removed or replaced records that the restored store has again."""
         return list(self._withheld.values())
 
     def get_listing(self):
@@ -176,6 +176,8 @@
         return Listing(present + self.get_withheld(), self.end, self.era)
 
     def _is_listed(self, entry):
+        if entry.key in self._withheld:
+            return False
         return entry.key not in self._unconfirmed or self._rank(entry) is not None
 
     def get_batch(self, offset, era=0):
@@ -246,7 +248,8 @@
         self._withheld = {
             entry.key: entry
             for entry in listing.entries
-            if entry.key in removed and self._withholds(entry)
+            if entry.key in self._entries
+            and self._withholds(entry, self._entries[entry.key])
         }
         listed = {entry.key for entry in listing.entries}
         self._unconfirmed = {
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
@@ -10,7 +10,7 @@
 from ..quarantine import crash_attribution
 from ..quarantine.fingerprints import parse_fingerprint
 from ..quarantine.records import decode_record
-from .directory import RecordPosition, is_stale_record
+from .directory import RecordPosition, is_stale_record, started_earlier
 
 # Bounds on the keys with bad records and on logged texts, as the topics are writable by
 # any client.
@@ -309,9 +309,19 @@
         """Mark all gateways in the store's list as known."""
         self._state.members_known = True
 
-    def is_unknown_instance(self, entry):
-        """Return whether an entry of the instances topic is of no known upstream."""
-        return self._find_instance(entry.key) is None
+    def withholds_instance(self, entry, known):
+        """Return whether a restored store has an upstream again that has left.
+
+        ``known`` is the entry of the same key before the restore.
+        """
+        instance = self._find_instance(entry.key)
+        if instance is None:
+            return known.value is None
+        try:
+            listed = self._adapter.decode_instance(entry.key, entry.value)
+        except BadRecord:
+            return False
+        return started_earlier(listed, instance)
 
     def _find_instance(self, key):
         """Return the current instance of a key of the instances topic, or None."""
