--- a/packages/valeweir_gateway/src/valeweir_gateway/view/lapsed_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/lapsed_records.py
@@ -32,8 +32,12 @@
         return len(self._retained_until)
 
     def mark_store_recovered(self, at):
-        """Record when the store answered again after an outage."""
-        if self._recovered_at is None or at > self._recovered_at:
+        """Record when the store answered again after an outage.
+
+        Topics are read again at different times. The first answer counts for all, as
+        upstreams renew their records from then on.
+        """
+        if self._recovered_at is None or at > self._recovered_at + self._retention_s:
             self._recovered_at = at
 
     def get_recovery_age(self, now):
--- a/packages/valeweir_gateway/tests/test_views.py
+++ b/packages/valeweir_gateway/tests/test_views.py
@@ -188,6 +188,26 @@
                 )
 
 
+# Guards against requests to an upstream that left while its gateway was cut off: each
+# topic that was read again later extended the time for which the upstream was retained.
+class TestEndOfAnOutage(unittest.TestCase):
+    def test_first_answer_after_an_outage_counts(self):
+        lapsed_records = LapsedRecords(2.0)
+        upstream = decode_instance("i", make_value())
+        lapsed_records.mark_store_recovered(9.8)
+        lapsed_records.mark_store_recovered(11.1)
+        until = lapsed_records.retain(upstream, 11.1)
+        self.assertAlmostEqual(until, 9.8 + RETENTION_S)
+
+    def test_next_outage_counts_anew(self):
+        lapsed_records = LapsedRecords(2.0)
+        upstream = decode_instance("i", make_value())
+        lapsed_records.mark_store_recovered(9.8)
+        lapsed_records.mark_store_recovered(12.0)
+        until = lapsed_records.retain(upstream, 12.0)
+        self.assertAlmostEqual(until, 12.0 + RETENTION_S)
+
+
 # Guards against an upstream that has left and returns with a restored store.
 class TestReturnedRecords(ViewCase):
     def withholds(self, known=None, **fields):
