--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -193,8 +193,7 @@
 
         Return whether the listing is of the current era of the store.
         """
-        is_restored = listing.era > self.era
-        if is_restored:
+        if listing.era > self.era:
             self._begin_era(listing)
         elif listing.era < self.era or listing.end < self.end:
             self._merge_higher(listing.entries)
@@ -207,9 +206,6 @@
         for key in present - listed - self._unconfirmed:
             # The key was removed between two reads.
             self._merge(Entry(key, None, listing.end - 1))
-            if is_restored and self._entries[key].value is None:
-                # Its removal is not known, so its next record must not be withheld.
-                del self._entries[key]
         if listing.end > self.end:
             # A listing omits keys that were written and removed since our end. A peer
             # with such a key would keep it forever if it got the changes without the
