--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -266,7 +266,8 @@
     @property
     def position(self):
         """Return the `topics.Position` up to which all records are known."""
-        return self._records.position
+        with self._lock:
+            return self._records.position
 
     def get_listing(self):
         """Return all known records as a `Listing` for a peer."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -234,28 +234,35 @@
         """Let the known records precede all those of the restored store.
 
         Its offsets say nothing about them. Those that it still has are in the listing.
+        The first era is no restore: the records were known without one.
         """
+        listed = {entry.key: entry for entry in listing.entries}
+        if self.era:
+            self._withheld = self._find_withheld(listed)
+            self._unconfirmed = self._find_unconfirmed(listed)
         self._entries = {
             key: entry._replace(offset=_EARLIER_ERA_OFFSET)
             for key, entry in self._entries.items()
         }
-        removed = {key: row for key, row in self._entries.items() if row.value is None}
-        self._removed = collections.deque(removed.values())
-        self._withheld = {
-            entry.key: entry
-            for entry in listing.entries
-            if entry.key in self._entries
-            and self._withholds(entry, self._entries[entry.key])
+        removed = [row for row in self._entries.values() if row.value is None]
+        self._removed = collections.deque(removed)
+        self._first_known_offset = listing.end
+        self.era = listing.era
+        self.end = 0
+
+    def _find_withheld(self, listed):
+        return {
+            key: entry
+            for key, entry in listed.items()
+            if key in self._entries and self._withholds(entry, self._entries[key])
         }
-        listed = {entry.key for entry in listing.entries}
-        self._unconfirmed = {
+
+    def _find_unconfirmed(self, listed):
+        return {
             key
             for key, entry in self._entries.items()
-            if key not in removed and key not in listed and self._keeps(entry)
+            if entry.value is not None and key not in listed and self._keeps(entry)
         }
-        self._first_known_offset = listing.end
-        self.era = listing.era
-        self.end = 0
 
     def settle(self):
         """Take over what the restored store still lacks, and what it still has."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from .transport.limits import ClientLimits
+from .view.topics import Position
 
 STORE = "store"
 
@@ -11,14 +12,13 @@
 class ViewUpdate(NamedTuple):
     """The last update of the view of a topic.
 
-    ``begin`` and ``end`` are the ends of the view before and after the update, as
-    `topics.Position`.
+    ``begin`` and ``end`` are the ends of the view before and after the update.
     ``source`` is `STORE` or the host of a peer. ``is_listing`` is true for a listing of
     all keys and false for a batch of changes. ``at`` is on the monotonic clock.
     """
 
-    begin: NamedTuple
-    end: NamedTuple
+    begin: Position
+    end: Position
     source: str
     is_listing: bool
     at: float
--- a/packages/valeweir_gateway/tests/test_topics.py
+++ b/packages/valeweir_gateway/tests/test_topics.py
@@ -219,6 +219,12 @@
         self.assertIsNone(self.applied["left"])
         self.assertEqual(self.applied["plain"], b"1")
 
+    def test_first_era_is_no_restore(self):
+        self.records.era = 0
+        self.restore(Entry("back", b"1", 4), era=1)
+        self.assertIsNone(self.applied["lost"])
+        self.assertEqual(self.applied["back"], b"1")
+
     def test_peers_get_what_the_store_has(self):
         self.restore(Entry("back", b"1", 4))
         keys = {entry.key for entry in self.records.get_listing().entries}
