--- a/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/views.py
@@ -367,6 +367,7 @@
     """Return the fingerprints in the keys of entries, without malformed ones."""
     fingerprints = []
     for entry in entries:
+        # A malformed key was logged when its record was applied.
         with contextlib.suppress(ValueError):
             fingerprints.append(parse_fingerprint(entry.key))
     return fingerprints
