--- a/packages/valeweir/src/valeweir/servers.py
+++ b/packages/valeweir/src/valeweir/servers.py
@@ -152,6 +152,8 @@
         )
         self.on_rejection = on_rejection
         self._threads_needed = threading.Event()
+        self._growth_lock = threading.Lock()
+        self._is_stopping = False
 
     def start_threads(self):
         """Bind the socket and start the threads that serve and grow the pool."""
@@ -159,6 +161,16 @@
         for name, run in (("serve", self.serve), ("grow", self._grow_pool)):
             threading.Thread(target=run, name=name, daemon=True).start()
 
+    def stop(self):
+        """Stop serving, and wait for the threads.
+
+        cheroot ends as many threads as there are when it begins to stop. One that is
+        added meanwhile would end in place of another, for which it waits forever.
+        """
+        with self._growth_lock:
+            self._is_stopping = True
+        super().stop()
+
     def prepare(self):
         """Bind the socket; accept all pending connections in each loop turn.
 
@@ -195,13 +207,18 @@
         while self.ready:
             if self._threads_needed.wait(0.5):
                 self._threads_needed.clear()
-                # cheroot waits 0.1 s for each batch to start, so batches are large.
-                running = len(self.requests._threads)
-                try:
-                    self.requests.grow(max(_MIN_GROWTH_COUNT, running // 2))
-                except RuntimeError as exc:
-                    # The host cannot start more threads now; the running ones continue.
-                    logger.error("cannot start more than {} threads: {}", running, exc)
+                with self._growth_lock:
+                    if not self._is_stopping:
+                        self._add_threads()
+
+    def _add_threads(self):
+        # cheroot waits 0.1 s for each batch to start, so batches are large.
+        running = len(self.requests._threads)
+        try:
+            self.requests.grow(max(_MIN_GROWTH_COUNT, running // 2))
+        except RuntimeError as exc:
+            # The host cannot start more threads now; the running ones continue.
+            logger.error("cannot start more than {} threads: {}", running, exc)
 
 
 def _is_readable(sock):
--- a/packages/valeweir/tests/test_servers.py
+++ b/packages/valeweir/tests/test_servers.py
@@ -10,6 +10,26 @@
 HIGH_DESCRIPTOR = 1_500
 
 
+# Guards against a stop that never ends: a thread that was added meanwhile took the
+# place of one for which the stop waited.
+class TestStopping(unittest.TestCase):
+    def test_no_thread_is_added_during_a_stop(self):
+        server = create_server("127.0.0.1:0", lambda request, response: None)
+        server.start_threads()
+        grown = threading.Event()
+        server.requests.grow = lambda amount: grown.set()
+        stop_threads = server.requests.stop
+
+        def stop(timeout):
+            server._threads_needed.set()
+            grown.wait(1.0)
+            stop_threads(timeout)
+
+        server.requests.stop = stop
+        server.stop()
+        self.assertFalse(grown.is_set())
+
+
 class TestAccepting(unittest.TestCase):
     def setUp(self):
         self.server = create_server("127.0.0.1:0", lambda request, response: None)
