--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -124,6 +124,8 @@
         self._call = None
         self._is_call_active = False
         self._was_unavailable = False
+        # Total time of pauses of this process at the last update of the view.
+        self._updated_pause_total = 0.0
         # Number of consecutive calls that timed out.
         self._timeout_count = 0
         self._answered_at = None
@@ -466,7 +468,8 @@
         """Log a late answer, and report a recovery if it ends an outage.
 
         Records that the store has lost in a restore may be written again, as those that
-        expired in an outage.
+        expired in an outage. If this process was paused since its last update, the
+        restore may be long ago, and missing upstreams have left.
         """
         now = self._clock()
         paused = self._get_pause_total() - call.pause_total
@@ -481,7 +484,8 @@
         # A late answer is no outage if this process was paused before reading it. An
         # upstream whose record was removed meanwhile has left, and would otherwise get
         # requests for two more seconds.
-        is_restored = 0 < self._records.era < era
+        paused_since = self._get_pause_total() - self._updated_pause_total
+        is_restored = 0 < self._records.era < era and paused_since <= _LATE_ANSWER_S
         if self._was_unavailable or is_restored or late - paused > _LATE_ANSWER_S:
             self._on_recovered(now)
         self._was_unavailable = False
@@ -497,6 +501,7 @@
             if 0 < begin.era < self.position.era:
                 self._settle_at = at + _SETTLE_S
                 self._handle_restore(begin, source)
+            self._updated_pause_total = self._get_pause_total()
             view_update = ViewUpdate(begin, self.position, source, is_listing, at)
             self._on_update(self._topic, view_update)
             self._on_merged(self.position)
--- a/packages/valeweir_gateway/tests/test_follower.py
+++ b/packages/valeweir_gateway/tests/test_follower.py
@@ -103,6 +103,23 @@
         self.follow(Listing([], 4, era=3), Batch([Entry("a", b"1", 4)], 5))
         self.assertEqual(self.follower.position, Position(3, 5))
 
+    # A gateway that had been paused took its first answer for the return of the store,
+    # and retained an upstream that had left long before.
+    def test_restore_during_a_pause_is_no_recovery(self):
+        for paused, recoveries in ((0.0, [7.0]), (4.6, [])):
+            pauses, recovered = [0.0], []
+            self.make_follower(
+                [].append,
+                on_recovered=recovered.append,
+                get_pause_total=lambda pauses=pauses: pauses[0],
+            )
+            self.store.results = [Listing([], 4, era=1), Listing([], 2, era=2)]
+            self.follower.follow_once()
+            pauses[0] = paused
+            self.follower._needs_listing = True
+            self.follower.follow_once()
+            self.assertEqual(recovered, recoveries)
+
     def test_what_the_copy_lacks_settles(self):
         now = [7.0]
         self.make_follower([].append, keeps=lambda entry: True, clock=lambda: now[0])
