--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/reports.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-from ..view.topics import Position
+from ..stores import Position
 from .freshness import Echo
 
 VERSION = 2
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -31,13 +31,13 @@
 from .process_pauses import PauseDetector
 from .quarantine.crashes import Suspects
 from .quarantine.records import Quarantine
+from .stores import Position
 from .transport.headers import HeaderNames, get_replaced_headers, get_reserved_headers
 from .upstreams.connections import Connections
 from .upstreams.upstream_exits import UpstreamExits
 from .view.directory import Directory
 from .view.evacuations import Evacuations
 from .view.lapsed_records import LapsedRecords
-from .view.topics import Position
 
 # The requests that one or two upstreams run at a time, as an upstream that ends leaves
 # one notice per request. Older notices are discarded.
--- a/packages/valeweir_gateway/src/valeweir_gateway/stores.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/stores.py
@@ -1,10 +1,29 @@
 """The interface of the platform's store that the gateway uses."""
 
-from typing import Protocol
+from typing import NamedTuple, Protocol
 
 from valeweir.exceptions import PlatformUnavailable
 
 
+class Position(NamedTuple):
+    """An offset of a topic, and the era of the store that assigned it.
+
+    The era increases when the store is restored from a copy. Records after the copy are
+    then lost and their offsets are assigned again. The era is 0 before the first answer
+    of the store, and for a store without eras.
+    """
+
+    era: int
+    offset: int
+
+    def covers(self, other):
+        """Return whether a view up to here has all records up to ``other``.
+
+        A view of a later era may lack records that the store has lost.
+        """
+        return self.era == other.era and self.offset >= other.offset
+
+
 class HistoryExpired(PlatformUnavailable):
     """The store lacks the requested records, so the topic must be listed again.
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/follower.py
@@ -53,7 +53,7 @@
     apply : callable
         Called with each `Entry` that is newer than the known one of its key.
     on_merged : callable
-        Called with the `topics.Position` of the end after each merged listing or batch.
+        Called with the `stores.Position` of the end after each merged listing or batch.
     poll : callable
         Returns for how many seconds a call waits for a record.
     is_wanted : callable
@@ -267,7 +267,7 @@
 
     @property
     def position(self):
-        """Return the `topics.Position` up to which all records are known."""
+        """Return the `stores.Position` up to which all records are known."""
         with self._lock:
             return self._records.position
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -3,30 +3,13 @@
 import collections
 from typing import NamedTuple
 
+from ..stores import Position
+
 _MAX_REMOVED_COUNT = 2_000
 # Precedes the offset of every record, and that of a removal in an empty topic.
 _EARLIER_ERA_OFFSET = -2
 
 
-class Position(NamedTuple):
-    """An offset of a topic, and the era of the store that assigned it.
-
-    The era increases when the store is restored from a copy. Records after the copy are
-    then lost and their offsets are assigned again. The era is 0 before the first answer
-    of the store, and for a store without eras.
-    """
-
-    era: int
-    offset: int
-
-    def covers(self, other):
-        """Return whether a view up to here has all records up to ``other``.
-
-        A view of a later era may lack records that the store has lost.
-        """
-        return self.era == other.era and self.offset >= other.offset
-
-
 class Entry(NamedTuple):
     """A record of a keyed topic; a value of None removes the key."""
 
@@ -39,7 +22,7 @@
     """The newest record of each key.
 
     ``end`` is the offset from which to read on. Records that were written while the
-    pages were read have higher offsets. ``era`` is as for `Position`.
+    pages were read have higher offsets. ``era`` is as for `stores.Position`.
     """
 
     entries: list[Entry]
@@ -51,7 +34,7 @@
     """Records in order; ``end`` is the offset from which to read on.
 
     ``is_whole`` is true if the topic ended there when it was read. ``era`` is as for
-    `Position`.
+    `stores.Position`.
     """
 
     entries: list[Entry]
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/view_sync.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/view_sync.py
@@ -11,8 +11,9 @@
 import msgspec
 import urllib3
 
+from ..stores import Position
 from ..view_source import get_version
-from .topics import Batch, Entry, Listing, Position
+from .topics import Batch, Entry, Listing
 
 VIEW_PATH = "/fleet/view"
 # Maximum time between two checks; a report of a newer view triggers a check at once.
--- a/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
@@ -3,8 +3,8 @@
 import operator
 from typing import NamedTuple
 
+from .stores import Position
 from .transport.limits import ClientLimits
-from .view.topics import Position
 
 STORE = "store"
 
--- a/packages/valeweir_gateway/tests/test_duties.py
+++ b/packages/valeweir_gateway/tests/test_duties.py
@@ -2,8 +2,8 @@
 from types import SimpleNamespace
 
 from valeweir_gateway.settings import Store
+from valeweir_gateway.stores import Position
 from valeweir_gateway.view.store_read_policy import StoreReadPolicy, get_max_view_age
-from valeweir_gateway.view.topics import Position
 from valeweir_gateway.view.view_sync import ViewSync
 from valeweir_standins.wires import Wire
 from viewing import make_followers
--- a/packages/valeweir_gateway/tests/test_follower.py
+++ b/packages/valeweir_gateway/tests/test_follower.py
@@ -1,9 +1,9 @@
 import unittest
 
 from valeweir.exceptions import PlatformUnavailable
-from valeweir_gateway.stores import HistoryExpired, StoreTimeout
+from valeweir_gateway.stores import HistoryExpired, Position, StoreTimeout
 from valeweir_gateway.view.follower import TopicFollower
-from valeweir_gateway.view.topics import Batch, Entry, Listing, Position
+from valeweir_gateway.view.topics import Batch, Entry, Listing
 
 
 class ScriptedStore:
--- a/packages/valeweir_gateway/tests/test_freshness.py
+++ b/packages/valeweir_gateway/tests/test_freshness.py
@@ -3,8 +3,8 @@
 from valeweir_gateway.fleet.freshness import Echo, Freshness, Stamps, make_echo
 from valeweir_gateway.fleet.reports import VERSION, Report, Role
 from valeweir_gateway.settings import Store, Upstreams
+from valeweir_gateway.stores import Position
 from valeweir_gateway.view.store_read_policy import StoreReadPolicy
-from valeweir_gateway.view.topics import Position
 from valeweir_standins.wires import Wire
 from viewing import Clock
 
--- a/packages/valeweir_gateway/tests/test_leaving.py
+++ b/packages/valeweir_gateway/tests/test_leaving.py
@@ -14,11 +14,11 @@
 
 from valeweir.exceptions import PlatformUnavailable
 from valeweir_gateway.fleet.members import Member
-from valeweir_gateway.stores import HistoryExpired
+from valeweir_gateway.stores import HistoryExpired, Position
 from valeweir_gateway.view.directory import Instance
 from valeweir_gateway.view.follower import TopicFollower
 from valeweir_gateway.view.store_read_policy import StoreReadPolicy
-from valeweir_gateway.view.topics import Batch, Entry, Listing, Position
+from valeweir_gateway.view.topics import Batch, Entry, Listing
 from valeweir_gateway.view.view_sync import (
     ViewSync,
     decode_view,
--- a/packages/valeweir_gateway/tests/test_recording.py
+++ b/packages/valeweir_gateway/tests/test_recording.py
@@ -7,9 +7,9 @@
     record_refusal,
 )
 from valeweir_gateway.refusals import Refusal
+from valeweir_gateway.stores import Position
 from valeweir_gateway.transport.requests import BadRequest, Headers, Request
 from valeweir_gateway.view.catalog import Catalog, Limits
-from valeweir_gateway.view.topics import Position
 from valeweir_gateway.view.view_age import ViewAgeMonitor, count_outdated_request
 from viewing import Clock, make_state
 
--- a/packages/valeweir_gateway/tests/test_views.py
+++ b/packages/valeweir_gateway/tests/test_views.py
@@ -4,12 +4,12 @@
 
 from valeweir.exceptions import PlatformUnavailable
 from valeweir_gateway.fleet.members import Member
-from valeweir_gateway.stores import HistoryExpired
+from valeweir_gateway.stores import HistoryExpired, Position
 from valeweir_gateway.view.catalog import Service
 from valeweir_gateway.view.directory import Instance, make_incarnation_id
 from valeweir_gateway.view.follower import TopicFollower
 from valeweir_gateway.view.lapsed_records import LapsedRecords
-from valeweir_gateway.view.topics import Batch, Entry, Listing, Position
+from valeweir_gateway.view.topics import Batch, Entry, Listing
 from valeweir_gateway.view.view_sync import (
     ViewSync,
     decode_view,
--- a/packages/valeweir_standins/src/valeweir_standins/wires.py
+++ b/packages/valeweir_standins/src/valeweir_standins/wires.py
@@ -17,9 +17,9 @@
 from valeweir_gateway.quarantine.crashes import Suspects
 from valeweir_gateway.quarantine.records import Quarantine
 from valeweir_gateway.settings import Sharing, Store, Upstreams
+from valeweir_gateway.stores import Position
 from valeweir_gateway.upstreams.connections import Connections
 from valeweir_gateway.view.directory import Directory
-from valeweir_gateway.view.topics import Position
 
 TICK_S = 0.05
 _WINDOW_S = 4.0
