--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topic_followers.py
@@ -39,11 +39,7 @@
         poll=read_policy.get_poll,
         on_recovered=state.lapsed_records.mark_store_recovered,
         wait_until_wanted=read_policy.wait_until_reading,
-        is_done=lambda: False,
-        rank=lambda entry: None,
-        keeps=lambda entry: False,
-        withholds=lambda entry, known: False,
-        on_restored=ignore,
+        **options,
     ):
         return TopicFollower(
             adapter.store,
@@ -59,11 +55,7 @@
             state.record_view_update,
             state.pause_detector.get_total,
             wait_until_wanted,
-            is_done,
-            rank,
-            keeps,
-            withholds,
-            on_restored,
+            **options,
         )
 
     def is_removal(entry, known):
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/topics.py
@@ -176,12 +176,12 @@
 
         Return whether the listing is of the current era of the store.
         """
+        listed = {entry.key for entry in listing.entries}
         if listing.era > self.era:
-            self._begin_era(listing)
+            self._begin_era(listing, listed)
         elif listing.era < self.era or listing.end < self.end:
             self._merge_higher(listing.entries)
             return listing.era == self.era
-        listed = {entry.key for entry in listing.entries}
         self._withheld = {k: e for k, e in self._withheld.items() if k in listed}
         for entry in listing.entries:
             self._merge(entry)
@@ -213,15 +213,14 @@
         self.end = max(self.end, batch.end)
         return True
 
-    def _begin_era(self, listing):
+    def _begin_era(self, listing, listed):
         """Let the known records precede all those of the restored store.
 
         Its offsets say nothing about them. Those that it still has are in the listing.
         The first era is no restore: the records were known without one.
         """
-        listed = {entry.key: entry for entry in listing.entries}
         if self.era:
-            self._withheld = self._find_withheld(listed)
+            self._withheld = self._find_withheld(listing.entries)
             self._unconfirmed = self._find_unconfirmed(listed)
         self._entries = {
             key: entry._replace(offset=_EARLIER_ERA_OFFSET)
@@ -233,11 +232,12 @@
         self.era = listing.era
         self.end = 0
 
-    def _find_withheld(self, listed):
+    def _find_withheld(self, entries):
+        known = self._entries
         return {
-            key: entry
-            for key, entry in listed.items()
-            if key in self._entries and self._withholds(entry, self._entries[key])
+            entry.key: entry
+            for entry in entries
+            if entry.key in known and self._withholds(entry, known[entry.key])
         }
 
     def _find_unconfirmed(self, listed):
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/view_sync.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/view_sync.py
@@ -253,6 +253,7 @@
             return None
         previous = self._get_positions()
         merged = self.fetch(peer)
+        positions = self._get_positions()
         self._state.log.note(
             "view from peer",
             failed=not merged,
@@ -260,8 +261,8 @@
             taken=merged,
             behind_s=round(behind, 3),
             offsets_before=[position.offset for position in previous],
-            offsets=[position.offset for position in self._get_positions()],
-            eras=[position.era for position in self._get_positions()],
+            offsets=[position.offset for position in positions],
+            eras=[position.era for position in positions],
             peer_offsets=peer.report.view_offsets,
             peer_eras=peer.report.eras,
             report_age_s=round(now - peer.received_at, 3),
