--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -144,6 +144,7 @@
     state.loads.release_body(work)
     if not isinstance(head, Head):
         return Failure(Fault.AMBIGUOUS, "response without a head")
+    ctx.framing = head.framing
     if state.names.not_run.lower() in head.headers or head.status == MISDIRECTED_STATUS:
         return await _read_rejection(exchange, head)
     signed = state.names.signature.lower() in head.headers
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
@@ -19,10 +19,12 @@
         "permit",
         "excluded",
         "first_sent",
+        "framing",
         "id",
         "is_trial",
         "last_event_id",
         "may_have_run",
+        "partial_bytes",
         "last_byte_sent_at",
         "prompt",
         "reply",
@@ -56,6 +58,10 @@
         self.view_at_send = {}
         self.last_byte_sent_at = None
         self.response_status = 0
+        # For the log of the last send: the framing of the response, and how many bytes
+        # of an unfinished event followed the last whole one.
+        self.framing = None
+        self.partial_bytes = 0
         self.last_event_id = None
         self.may_have_run = False
         self.share_status = None
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -125,6 +125,7 @@
         first_sent_ms=_get_first_sent_ms(ctx),
         first_ms=to_milliseconds(work.first_data_s or 0.0),
         **_describe_pace(ctx, work),
+        **_describe_end(ctx),
         out_ms=_get_out_ms(ctx),
         sends=ctx.sends,
         took_ms=to_milliseconds(now - ctx.arrived),
@@ -159,6 +160,7 @@
         why=failure.text,
         status=failure.status,
         broke_off=failure.broke_off,
+        **_describe_end(ctx),
         route=ctx.route.name,
         account=ctx.account.name if ctx.account else None,
         fingerprint=format_fingerprint(ctx.fingerprint),
@@ -186,6 +188,8 @@
     """Store this gateway's view of the upstream as it sends, for the final log line."""
     count_outdated_request(state, "sent", now)
     ctx.last_byte_sent_at = None
+    ctx.framing = None
+    ctx.partial_bytes = 0
     ctx.view_at_send = {
         **describe_view(state, now),
         **describe_upstream(state, instance_id, now),
@@ -210,6 +214,13 @@
     }
 
 
+def _describe_end(ctx):
+    """Return log fields of how the upstream ended its response, none without a head."""
+    if ctx.framing is None:
+        return {}
+    return {"framing": ctx.framing.value, "partial_bytes": ctx.partial_bytes}
+
+
 def _get_first_sent_ms(ctx):
     """Return the milliseconds until the first send, or None if there was none."""
     if ctx.first_sent is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/events.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/events.py
@@ -25,6 +25,11 @@
         """Return whether an incomplete event is buffered."""
         return bool(self._buffer)
 
+    @property
+    def partial_size(self):
+        """Return how many bytes of an incomplete event are buffered."""
+        return len(self._buffer)
+
     def feed(self, data):
         """Add received bytes; return the events that are now complete."""
         self._buffer += data
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
@@ -203,7 +203,7 @@
         if head.headers.get("content-encoding", "identity") != "identity":
             return self._fail(Fault.AMBIGUOUS, "response has a content encoding")
         kept = {n: v for n, v in head.headers.items() if n not in HOP_BY_HOP_HEADERS}
-        return Head(head.status, kept)
+        return head._replace(headers=kept)
 
     def _record_persistence(self, headers):
         if "close" in headers.get("connection", "").lower():
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
@@ -25,6 +25,7 @@
     coalesce_s = state.cfg.streams.max_delay_ms / 1000.0 * _COALESCE_RATIO
     while True:
         item = await exchange.read()
+        ctx.partial_bytes = splitter.partial_size
         if isinstance(item, Failure):
             return item
         if isinstance(item, End):
