--- a/packages/valeweir/src/valeweir/servers.py
+++ b/packages/valeweir/src/valeweir/servers.py
@@ -6,8 +6,10 @@
 still connected.
 """
 
+import os
 import select
 import socket
+import struct
 import threading
 from typing import NamedTuple
 from urllib.parse import parse_qs, unquote
@@ -83,6 +85,20 @@
         self._req.sent_headers = True
         self.abort()
 
+    def send_raw(self, data):
+        """Send bytes as they are and close the connection after them."""
+        self.drop()
+        self._req.conn.wfile.write(data)
+
+    def reset(self):
+        """Reset the connection; what the kernel has not sent yet is lost."""
+        self.drop()
+        self._req.conn.is_reset = True
+        linger = struct.pack("ii", 1, 0)
+        sock = self._req.conn.socket
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        os.close(sock.detach())
+
     def close(self):
         """Close the connection after this response."""
         self._req.close_connection = True
@@ -136,6 +152,12 @@
 
 class _HTTPConnection(cheroot_server.HTTPConnection):
     RequestHandlerClass = _HTTPRequest
+    is_reset = False
+
+    def _close_kernel_socket(self):
+        # A shutdown would send a FIN before the reset.
+        if not self.is_reset:
+            super()._close_kernel_socket()
 
 
 class Server(cheroot_server.HTTPServer):
