--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -17,6 +17,7 @@
     Fault,
     prepare_headers,
 )
+from ..upstreams.response_ends import check_end, has_survived
 from ..upstreams.upstream_signals import observe_head
 from ..view.catalog import RouteKind
 from .pause_recovery import is_view_stale, wait_for_view
@@ -81,7 +82,8 @@
         # new connection costs a round trip.
         state.connections.drop(instance.id)
     if failure is None:
-        on_request_answered(state, ctx)
+        if has_survived(state, ctx, instance):
+            on_request_answered(state, ctx)
     elif failure.broke_off:
         # Before the next send, as this request may have crashed the upstream.
         await on_connection_broken(state, ctx, instance, work.sent)
@@ -153,10 +155,14 @@
     if head.status in _SIGNED_STATUSES and not signed:
         return Failure(Fault.AMBIGUOUS, "unsigned not-run status", head.status)
     if ctx.route.kind is RouteKind.STREAM and head.status == 200:
-        return await streams.forward_stream(state, ctx, exchange, head, work)
+        instance = choice.instance
+        return await streams.forward_stream(state, ctx, exchange, head, instance, work)
     body = await exchange.read_body()
     if isinstance(body, Failure):
         return body
+    failure = await check_end(state, ctx, choice.instance, work)
+    if failure is not None:
+        return failure
     _observe_response(state, choice, work)
     is_retry_useful = _is_retry_useful(state, ctx, choice.instance)
     if head.status >= _MIN_SERVER_ERROR_STATUS and is_retry_useful:
@@ -221,4 +227,4 @@
 
 def _send_response(ctx, head, body):
     ctx.response_status = head.status
-    ctx.reply.send(head.status, head.headers.items(), body)
+    ctx.reply.send(head.status, head.headers.items(), body, head.framing)
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
@@ -21,6 +21,7 @@
         "first_sent",
         "framing",
         "id",
+        "is_position_known",
         "is_trial",
         "last_event_id",
         "may_have_run",
@@ -63,6 +64,8 @@
         self.framing = None
         self.partial_bytes = 0
         self.last_event_id = None
+        # Whether the last forwarded event had an id, so that the stream can be resumed.
+        self.is_position_known = True
         self.may_have_run = False
         self.share_status = None
         # Random number for admission. The lowest value admits a request for which none
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -103,6 +103,7 @@
         state.metrics.expected_first_event_seconds.observe(choice.wait)
     if work.pace is not None:
         state.metrics.event_gap_seconds.observe(work.pace.longest_gap)
+    _count_end(state, ctx, "whole")
     state.domains.record_success(choice.instance.domain)
     if state.loads.record_success(choice.instance.id, now):
         state.log.note("upstream back", upstream=choice.instance.id)
@@ -140,6 +141,8 @@
     instance_id = choice.instance.id
     ejection_s = None
     state.metrics.send_failures.labels(failure.fault.value).inc()
+    if failure.broke_off:
+        _count_end(state, ctx, "broken")
     if failure.status == MISDIRECTED_STATUS:
         state.loads.mark_replaced(instance_id, now)
         state.connections.drop(instance_id)
@@ -214,6 +217,11 @@
     }
 
 
+def _count_end(state, ctx, end):
+    if ctx.framing is not None:
+        state.metrics.response_ends.labels(ctx.framing.value, end).inc()
+
+
 def _describe_end(ctx):
     """Return log fields of how the upstream ended its response, none without a head."""
     if ctx.framing is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/retry_policy.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/retry_policy.py
@@ -47,7 +47,8 @@
 
 def _may_resume(ctx):
     """Return whether a broken stream may continue within the same response."""
-    return ctx.route.resumable and bool(ctx.last_event_id)
+    is_resumable = ctx.route.resumable and ctx.is_position_known
+    return is_resumable and bool(ctx.last_event_id)
 
 
 def make_deadline_refusal(ctx):
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -33,6 +33,11 @@
         self.send_failures = self._counter(
             "send_failures", "Sends without a complete response, by fault", "fault"
         )
+        self.response_ends = self._counter(
+            "response_ends",
+            "Ends of responses of upstreams, by framing and whether the end was whole",
+            "framing end",
+        )
         self.malformed = self._counter(
             "requests_malformed",
             "Malformed requests and failed accepts, by code",
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -14,7 +14,12 @@
 from .replies import ClientDisconnected, Reply, encode_head
 from .requests import BadRequest, RequestParser
 from .socket_waits import set_result_if_pending
-from .sockets import USER_TIMEOUT_MS, is_window_closed, set_user_timeout
+from .sockets import (
+    USER_TIMEOUT_MS,
+    is_window_closed,
+    set_reset_on_close,
+    set_user_timeout,
+)
 from .write_buffers import compute_resume_size, find_reached_bound
 
 # Limits the complete requests of one connection that wait for an earlier one.
@@ -157,6 +162,11 @@
         """Close the connection after the buffered bytes are sent."""
         self._transport.close()
 
+    def set_reset_on_close(self, is_on):
+        """Choose whether the end of the connection is a reset for the client."""
+        if not self.is_disconnected:
+            set_reset_on_close(self._transport.get_extra_info("socket"), is_on)
+
     async def serve(self):
         """Serve requests until the connection ends; runs as the connection's task."""
         while not self.is_disconnected:
@@ -184,6 +194,8 @@
             if not reply.started:
                 reply.send(204, [], b"")
             await reply.flush()
+            if reply.ends_by_close:
+                self.set_reset_on_close(False)
         except ClientDisconnected:
             return False
         finally:
@@ -274,7 +286,7 @@
         ]
         if fault.retry_after is not None:
             rows.append(("Retry-After", f"{fault.retry_after:.2f}"))
-        framing = f"Content-Length: {len(body)}"
+        framing = [f"Content-Length: {len(body)}"]
         self.write(encode_head(fault.status, rows, framing, False) + body)
         self.close()
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/events.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/events.py
@@ -1,34 +1,56 @@
-"""Splits a streamed response into server-sent events."""
+"""Splits a streamed response into server-sent events.
+
+Lines end with CR LF, LF or CR. An empty line ends an event, and a stream that ends
+before that line has been broken off.
+"""
 
 import re
 from typing import NamedTuple
 
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
-_ID_FIELD = re.compile(rb"(?:^|\n)id:[ ]?([^\r\n]*)")
+_LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
+_EVENT_END = re.compile(_LINE_END + _LINE_END)
+_ID_FIELD = re.compile(rb"(?:^|[\r\n])id(?::[ ]?([^\r\n]*)|(?=[\r\n]))")
+# A line that is neither empty nor a comment.
+_FIELD = re.compile(rb"(?:^|[\r\n])[^\r\n:]")
+_BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 
 class EventBlock(NamedTuple):
-    """One complete event with its blank line; ``id`` is "" if it has none."""
+    """One event or comment with its blank line; ``id`` is "" if it has none."""
 
     data: bytes
     id: str
+    is_event: bool = True
 
 
 class EventSplitter:
-    """Buffers the bytes of a stream and returns complete events."""
+    """Buffers the bytes of a stream and returns complete events.
+
+    Parameters
+    ----------
+    is_continuation : bool
+        Whether the stream continues another one, within which a byte-order mark would
+        not be at the start.
+    """
 
-    def __init__(self):
+    def __init__(self, is_continuation=False):
         self._buffer = b""
+        self._is_at_start = True
+        self._is_continuation = is_continuation
 
     @property
     def has_partial_event(self):
-        """Return whether an incomplete event is buffered."""
-        return bool(self._buffer)
+        """Return whether the bytes received so far end inside an event.
+
+        Comments and empty lines after the last event are not part of an event.
+        """
+        lines = self._buffer.splitlines(keepends=True)
+        return any(_is_in_event(line) for line in lines)
 
     @property
     def partial_size(self):
         """Return how many bytes of an incomplete event are buffered."""
-        return len(self._buffer)
+        return len(self._buffer) if self.has_partial_event else 0
 
     def feed(self, data):
         """Add received bytes; return the events that are now complete."""
@@ -36,16 +58,25 @@
         blocks = []
         start = 0
         for match in _EVENT_END.finditer(self._buffer):
-            block = self._buffer[start : match.end()]
-            blocks.append(EventBlock(block, _find_id(block)))
+            blocks.append(self._make_block(self._buffer[start : match.end()]))
             start = match.end()
         self._buffer = self._buffer[start:]
         return blocks
 
-    def take_partial_event(self):
-        """Remove and return the bytes of an incomplete event."""
-        partial, self._buffer = self._buffer, b""
-        return partial
+    def take_rest(self):
+        """Remove and return the bytes after the last event."""
+        rest, self._buffer = self._buffer, b""
+        return rest
+
+    def _make_block(self, data):
+        text = data
+        if self._is_at_start:
+            self._is_at_start = False
+            text = data.removeprefix(_BYTE_ORDER_MARK)
+        is_event = _FIELD.search(text) is not None
+        return EventBlock(
+            text if self._is_continuation else data, _find_id(text), is_event
+        )
 
 
 def is_later(event_id, last):
@@ -60,6 +91,14 @@
     return event_id != last
 
 
+def _is_in_event(line):
+    """Return whether a line that no blank line has followed belongs to an event."""
+    is_whole = line.endswith((b"\r", b"\n"))
+    is_comment = line.startswith(b":")
+    return bool(line.strip(b"\r\n")) and not (is_comment and is_whole)
+
+
 def _find_id(block):
-    match = _ID_FIELD.search(block)
-    return match.group(1).decode("latin-1") if match else ""
+    """Return the id of an event; the last of several ``id`` fields is in force."""
+    ids = _ID_FIELD.findall(block)
+    return ids[-1].decode("latin-1") if ids else ""
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
@@ -50,6 +50,7 @@
     headers: Headers
     body: bytes
     keep_alive: bool
+    http_version: str = "1.1"
 
     @property
     def path(self):
@@ -208,6 +209,7 @@
             headers,
             b"".join(self._body_parts),
             self._parser.should_keep_alive(),
+            self._parser.get_http_version(),
         )
         self._reset()
         self._on_request(request)
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/sockets.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/sockets.py
@@ -39,6 +39,11 @@
         pass
 
 
+def set_reset_on_close(sock, is_on):
+    """Choose whether closing a socket resets the connection instead of ending it."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", is_on, 0))
+
+
 def is_window_closed(sock):
     """Return whether unsent data only waits for the peer's receive window to open.
 
--- /dev/null
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/response_ends.py
@@ -0,0 +1,41 @@
+"""Whether a response that has ended is complete.
+
+A length or the last chunk confirms the end of a body, and an empty line that of an
+event. Without any of them, an upstream that exits closes its connections just as one
+that has finished.
+"""
+
+from ..transport.framing import Framing
+from .exchanges import Failure, Fault
+
+
+async def check_end(state, ctx, instance, work):
+    """Return None if the response may be complete, or the `Failure` of a broken one.
+
+    The end of a response that only the close of its connection marks is checked against
+    the state of its upstream: one that has exited without having announced it has
+    broken the response off.
+    """
+    if ctx.partial_bytes:
+        # The framing may have ended well and the connection been kept.
+        state.connections.drop(instance.id)
+        return _fail("the stream ended inside an event")
+    if is_end_confirmed(ctx) or state.directory.is_leaving(instance.id):
+        return None
+    if await state.upstream_exits.has_exited(instance, work.sent):
+        return _fail("the upstream exited at the end of a response without a length")
+    return None
+
+
+def is_end_confirmed(ctx):
+    """Return whether the framing of the last response stated its end."""
+    return ctx.framing is not Framing.CLOSE
+
+
+def has_survived(state, ctx, instance):
+    """Return whether an upstream is known to have survived an answered request."""
+    return is_end_confirmed(ctx) or not state.directory.is_leaving(instance.id)
+
+
+def _fail(text):
+    return Failure(Fault.AMBIGUOUS, text, broke_off=True)
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
@@ -4,6 +4,7 @@
 from ..transport.replies import ClientDisconnected
 from ..transport.responses import Data, End
 from .exchanges import Failure, Fault
+from .response_ends import check_end, is_end_confirmed
 from .stream_pace import StreamPace
 
 # Part of the permitted delay of an event that is spent on coalescing writes; the rest
@@ -11,7 +12,7 @@
 _COALESCE_RATIO = 0.3
 
 
-async def forward_stream(state, ctx, exchange, head, work):
+async def forward_stream(state, ctx, exchange, head, instance, work):
     """Forward events as they arrive; return None at the end, or a `Failure`.
 
     Only whole events are sent, so that a stream that breaks off can be resumed at
@@ -20,16 +21,18 @@
     spent on wake-ups and calls rather than on bytes. Reading goes on while the client
     does not read, up to the bounds of `transport.write_buffers`.
     """
-    splitter = EventSplitter()
+    splitter = EventSplitter(is_continuation=ctx.reply.started)
     work.pace = StreamPace()
     coalesce_s = state.cfg.streams.max_delay_ms / 1000.0 * _COALESCE_RATIO
     while True:
         item = await exchange.read()
-        ctx.partial_bytes = splitter.partial_size
+        if not isinstance(item, Data):
+            ctx.partial_bytes = splitter.partial_size
         if isinstance(item, Failure):
             return item
         if isinstance(item, End):
-            return await _finish_stream(ctx, head, splitter)
+            failure = await check_end(state, ctx, instance, work)
+            return failure or await _finish_stream(ctx, head, splitter)
         assert isinstance(item, Data)
         state.loads.record_progress(work, state.clock())
         blocks = splitter.feed(item.data)
@@ -55,17 +58,20 @@
         return Failure(Fault.GONE, "client disconnected")
     for block in new_blocks:
         ctx.last_event_id = block.id or ctx.last_event_id
+        if block.is_event:
+            ctx.is_position_known = bool(block.id)
     return None
 
 
 async def _finish_stream(ctx, head, splitter):
     try:
         _start_stream(ctx, head)
-        if splitter.has_partial_event:
-            await ctx.reply.write(splitter.take_partial_event())
+        rest = splitter.take_rest()
+        if rest:
+            await ctx.reply.write(rest)
     except ClientDisconnected:
         return Failure(Fault.GONE, "client disconnected")
-    ctx.reply.end()
+    ctx.reply.end(is_end_confirmed(ctx))
     return None
 
 
@@ -73,4 +79,4 @@
     if not ctx.reply.started:
         ctx.response_status = head.status
         headers = list(head.headers.items())
-        ctx.reply.start_stream(head.status, headers, ctx.id, ctx.deadline)
+        ctx.reply.start_stream(head.status, headers, ctx.id, ctx.deadline, head.framing)
