--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -43,6 +43,7 @@
         first_sent_ms=_get_first_sent_ms(ctx),
         held_ms=to_milliseconds(state.clock() - ctx.arrived),
         retry_after=refusal.retry_after,
+        **_describe_resumption(state, ctx),
         **(refusal.inputs or {}),
         **fields,
     )
@@ -127,6 +128,7 @@
         first_ms=to_milliseconds(work.first_data_s or 0.0),
         **_describe_pace(ctx, work),
         **_describe_end(ctx),
+        **_describe_resumption(state, ctx),
         out_ms=_get_out_ms(ctx),
         sends=ctx.sends,
         took_ms=to_milliseconds(now - ctx.arrived),
@@ -164,6 +166,7 @@
         status=failure.status,
         broke_off=failure.broke_off,
         **_describe_end(ctx),
+        **_describe_resumption(state, ctx),
         route=ctx.route.name,
         account=ctx.account.name if ctx.account else None,
         fingerprint=format_fingerprint(ctx.fingerprint),
@@ -229,6 +232,16 @@
     return {"framing": ctx.framing.value, "partial_bytes": ctx.partial_bytes}
 
 
+def _describe_resumption(state, ctx):
+    """Return log fields of the stream that the client takes up, none for others."""
+    headers = ctx.request.headers
+    fields = {
+        "resumes": headers.get(state.names.resumes),
+        "resumes_after": headers.get(state.names.last_event_id),
+    }
+    return {n: _truncate(text) for n, text in fields.items() if text is not None}
+
+
 def _get_first_sent_ms(ctx):
     """Return the milliseconds until the first send, or None if there was none."""
     if ctx.first_sent is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/headers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/headers.py
@@ -11,7 +11,8 @@
     lease on a slot and memory of an engine, ``pin`` keeps a prompt in its memory,
     ``backup_to`` requests a copy of that memory on another engine, and
     ``resume_from`` continues from such a copy. ``leaving`` is "1" in responses of an
-    upstream that accepts no new work.
+    upstream that accepts no new work. ``resumes`` names the request that brought the
+    first event of a stream that the client takes up.
     """
 
     request_id: str = "X-Request-Id"
@@ -31,6 +32,7 @@
     not_run: str = "X-Valeweir-Rejected"
     signature: str = "X-Valeweir-Signature"
     leaving: str = "X-Valeweir-Leaving"
+    resumes: str = "X-Valeweir-Resumes"
 
 
 HOP_BY_HOP_HEADERS = frozenset(
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/directory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/directory.py
@@ -18,7 +18,8 @@
     incarnation may share; it is empty if both ids are the same. ``warming`` is the
     remaining warm-up time in seconds as of its record. ``sequence`` increases with each
     record that an incarnation writes. ``started_at`` is its start time in milliseconds
-    since the epoch, None if it is unknown.
+    since the epoch, None if it is unknown. ``version`` is that of its software; streams
+    of different versions do not fit together.
     """
 
     id: str
@@ -31,6 +32,7 @@
     announced_as: str = ""
     sequence: int = 0
     started_at: int | None = None
+    version: str = ""
 
     @property
     def announced_id(self):
--- a/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view_source.py
@@ -83,14 +83,17 @@
 def describe_upstream(state, instance_id, now):
     """Return log fields on the evidence that an upstream accepts requests.
 
-    These are the offset and age of its record and the age of its last response.
+    These are the version, offset and age of its record and the age of its last
+    response.
     """
     responded_at = state.loads.get(instance_id, now).responded_at
     response_age = None if responded_at is None else round(now - responded_at, 3)
     record = state.directory.get_record_position(instance_id)
-    if record is None:
+    instance = state.directory.by_id.get(instance_id)
+    if record is None or instance is None:
         return {"upstream_offset": None, "upstream_answered_s": response_age}
     return {
+        "upstream_version": instance.version,
         "upstream_answered_s": response_age,
         "upstream_offset": record.offset,
         "upstream_known_s": round(now - record.at, 3),
