--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/links.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/links.py
@@ -11,6 +11,8 @@
 _MAX_NOTICES_PER_REPORT = 12
 # Datagrams may be lost; a duplicate notice has no effect.
 _NOTICE_SEND_COUNT = 2
+_MAX_QUEUED_STREAMS = 400
+_MAX_STREAMS_PER_REPORT = 24
 # A relay forwards received hints on the links whose gateways cannot have received them
 # yet.
 _FORWARD_ROLES = {Role.UP: (Role.ACROSS, Role.DOWN), Role.ACROSS: (Role.DOWN,)}
@@ -19,7 +21,15 @@
 class Link:
     """One gateway to report to: the state reported last and the hints still queued."""
 
-    __slots__ = ("member", "notices", "reads", "reported", "reported_at", "role")
+    __slots__ = (
+        "member",
+        "notices",
+        "reads",
+        "reported",
+        "reported_at",
+        "role",
+        "streams",
+    )
 
     def __init__(self, member, role):
         self.member = member
@@ -30,6 +40,19 @@
         # Pairs of a notice and the number of sends left.
         self.notices = collections.deque(maxlen=_MAX_QUEUED_NOTICES)
 
+        # Pairs of the key and the origin of streams.
+        self.streams = collections.deque(maxlen=_MAX_QUEUED_STREAMS)
+
+    @property
+    def has_hints(self):
+        """Return whether hints are queued."""
+        return bool(self.reads or self.notices or self.streams)
+
+    def take_streams(self):
+        """Remove and return as many streams as one report holds."""
+        count = min(len(self.streams), _MAX_STREAMS_PER_REPORT)
+        return [self.streams.popleft() for _ in range(count)]
+
     def take_reads(self):
         """Remove and return as many reads as one report holds."""
         count = min(len(self.reads), _MAX_READS_PER_REPORT)
@@ -90,6 +113,23 @@
                 if link.role in roles and host != report.host:
                     link.reads.extend(report.reads)
 
+    def queue_streams(self, streams, own_domain, is_mesh):
+        """Queue the streams that this gateway has begun.
+
+        They go to every peer of a mesh. In a larger fleet a single one gets them, so
+        that their cost does not grow with the fleet: the gateway's relay, or for a
+        relay another one of its failure domain.
+        """
+        if not streams:
+            return
+        with self._lock:
+            links = list(self._by_host.values())
+            if not is_mesh:
+                near = [row for row in links if _is_near_relay(row, own_domain)]
+                links = near[:1]
+            for link in links:
+                link.streams.extend(streams)
+
     def queue_notices(self, notices):
         """Queue notices of this gateway about requests on all links."""
         with self._lock:
@@ -105,3 +145,9 @@
                     link.notices.extend(
                         (notice, _NOTICE_SEND_COUNT) for notice in notices
                     )
+
+
+def _is_near_relay(link, own_domain):
+    return link.role is Role.UP or (
+        link.role is Role.ACROSS and link.member.domain == own_domain
+    )
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/relays.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/relays.py
@@ -61,6 +61,16 @@
     return Plan(False, relay, (), (), hello_targets)
 
 
+def find_origin_holders(members, now):
+    """Return the members that receive the origins of streams from others."""
+    relays = [
+        row
+        for domain in members.get_domains()
+        for row in _choose_relays(members, domain, now)
+    ]
+    return [row for row in relays if row != members.own]
+
+
 def _choose_relays(members, domain, now):
     ranked = members.get_ranked(domain)
     count = count_relays(len(ranked), members.is_mesh)
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/report_exchange.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/report_exchange.py
@@ -10,11 +10,12 @@
 import time
 
 from ..quarantine import crash_attribution
+from ..upstreams.stream_origins import StreamOrigin
 from ..upstreams.upstream_signals import mark_upstream_leaving
 from ..view_source import is_newer
 from .links import Links
 from .members import Member
-from .relays import make_plan
+from .relays import find_origin_holders, make_plan
 from .reporter import Reporter, get_notices, make_own_totals
 from .reports import Role, decode_report, encode_report
 from .totals import Totals
@@ -36,6 +37,12 @@
 # Limits how long a burst of reports delays requests on the event loop.
 _MAX_DATAGRAMS_PER_WAKEUP = 16
 
+# Peers in the same region answer within a few milliseconds.
+_ORIGIN_TIMEOUT_S = 0.1
+# Limits the datagrams that clients can cause by naming unknown streams.
+_MAX_PENDING_QUERIES = 64
+_MAX_WANTED_PER_REPORT = 24
+
 
 class Fleet:
     """Sends this gateway's reports and applies those of the other gateways."""
@@ -48,6 +55,8 @@
         self._links = Links()
         self._hello_sent_at = 0.0
         self._corrected_at = {}
+        # Futures of the queries for origins of streams, by key.
+        self._queries = {}
         self._max_gateways = (1, 0.0)
         self._task = None
         # A tick has nothing to do while the number of reports received and the versions
@@ -115,10 +124,11 @@
             return
         state = self._state
         now = state.clock()
+        address = f"{sender[0]}:{sender[1]}"
         if report.only_hints:
             self._apply_hints(report, now)
+            self._answer_query(report, address)
             return
-        address = f"{sender[0]}:{sender[1]}"
         is_new = not state.members.is_live(report.host, now)
         if state.members.record_report(report, address, now) is None:
             return
@@ -167,6 +177,44 @@
             if instance_id is not None:
                 state.loads.record_part_digest(part_digest, instance_id, now)
         self._links.forward_reads(report)
+        self._apply_streams(report, now)
+
+    def _apply_streams(self, report, now):
+        state = self._state
+        for key, *digests in report.streams:
+            origin = StreamOrigin(*digests)
+            state.stream_origins.add(key, origin, now)
+            state.version_history.observe_origin(origin, now)
+            query = self._queries.pop(key, None)
+            if query is not None and not query.done():
+                query.set_result(state.stream_origins.get(key))
+
+    def _answer_query(self, report, address):
+        get = self._state.stream_origins.get
+        known = {key: get(key) for key in report.wanted[:_MAX_WANTED_PER_REPORT]}
+        rows = [row for row in known.items() if row[1] is not None]
+        if rows:
+            self._send_to(address, self._reporter.make_reply(rows))
+
+    async def ask_for_origin(self, key):
+        """Ask peers for the origin of a stream; return a `StreamOrigin` or None."""
+        state = self._state
+        holders = find_origin_holders(state.members, state.clock())
+        if not holders or len(self._queries) >= _MAX_PENDING_QUERIES:
+            return None
+        query = self._queries.get(key)
+        if query is None:
+            query = self._queries[key] = asyncio.get_running_loop().create_future()
+            report = self._reporter.make_query([key])
+            for member in holders:
+                self._send_to(member.address, report)
+        try:
+            return await asyncio.wait_for(asyncio.shield(query), _ORIGIN_TIMEOUT_S)
+        except TimeoutError:
+            return None
+        finally:
+            if self._queries.get(key) is query:
+                del self._queries[key]
 
     def _apply_leaving(self, report):
         state = self._state
@@ -191,7 +239,7 @@
 
     def _has_changes(self):
         """Return whether there may be something to report or to apply."""
-        if any(link.reads or link.notices for link in self._links):
+        if any(link.has_hints for link in self._links):
             return True
         return self._exchanged_versions != self._get_versions()
 
@@ -207,6 +255,7 @@
             state.directory.leaving_version,
             len(state.reads),
             len(state.notices),
+            len(state.stream_origins.unreported),
         )
 
     def _exchange_reports(self, now):
@@ -225,6 +274,11 @@
         fleet_totals = remote.joined(own) if group_reports else own
         self._links.queue_reads(state.reads.take())
         self._links.queue_notices(_drain(state.notices))
+        self._links.queue_streams(
+            _drain(state.stream_origins.unreported),
+            state.cfg.domain,
+            state.members.is_mesh,
+        )
         for link in self._links:
             self._report_to(link, own, group_totals, fleet_totals, group_reports, now)
         if now - self._hello_sent_at >= _HELLO_INTERVAL_S:
@@ -330,8 +384,7 @@
             state.directory.leaving_version,
         )
         due = now - link.reported_at >= _HEARTBEAT_INTERVAL_S
-        hints = link.reads or link.notices
-        if not due and not hints and reported == link.reported:
+        if not due and not link.has_hints and reported == link.reported:
             return
         link.reported, link.reported_at = reported, now
         report = self._reporter.make(
@@ -342,6 +395,7 @@
             with_members=due,
             host=link.member.host,
             notices=link.take_notices(),
+            streams=link.take_streams(),
         )
         members.expect_reply(link.member.host, now)
         self._send_to(link.member.address, report)
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/reporter.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/reporter.py
@@ -5,7 +5,7 @@
 from ..quarantine.crashes import Crash
 from ..view_source import get_version
 from .freshness import Stamps, make_echo
-from .reports import VERSION, Report
+from .reports import VERSION, Report, Role
 from .totals import Totals
 
 _MAX_MEMBERS_PER_REPORT = 10
@@ -86,6 +86,7 @@
         with_members=False,
         host=None,
         notices=(),
+        streams=(),
     ):
         """Return a `Report`, with an echo if it is addressed to a single ``host``."""
         state = self._state
@@ -121,6 +122,29 @@
             leaving=self._get_leaving(),
             failures=_limit_failures(totals.failures) if totals else {},
             eras=tuple(position.era for position in state.view_positions),
+            streams=[(key, *origin) for key, origin in streams],
+        )
+
+    def make_query(self, wanted):
+        """Return the `Report` that requests the origins of streams from a peer."""
+        return self._make_hints(wanted=list(wanted))
+
+    def make_reply(self, streams):
+        """Return the `Report` that answers such a request."""
+        return self._make_hints(streams=[(key, *origin) for key, origin in streams])
+
+    def _make_hints(self, **hints):
+        self._seq += 1
+        cfg = self._state.cfg
+        return Report(
+            VERSION,
+            cfg.host,
+            cfg.domain,
+            self._number,
+            self._seq,
+            Role.HELLO,
+            only_hints=True,
+            **hints,
         )
 
     def observe_peer_view(self, report):
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/reports.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/reports.py
@@ -62,6 +62,8 @@
     to the number of gateways that ejected it because a connection was refused, and the
     number of gateways that have had a response from it since. ``eras`` are the eras of
     the store in which the offsets of configuration, instances and quarantine count.
+    ``streams`` lists (stream's key, digest of its service, digest of its version), and
+    ``wanted`` the keys of streams whose origins the sender requests.
     """
 
     version: int
@@ -91,6 +93,8 @@
     leaving: list[int] = []
     failures: dict[int, tuple[int, int]] = {}
     eras: tuple[int, int, int] = (0, 0, 0)
+    streams: list[tuple[int, int, int]] = []
+    wanted: list[int] = []
 
     @property
     def view_offsets(self):
@@ -116,8 +120,10 @@
         data = _encoder.encode(report)
     if len(data) <= MAX_BYTES:
         return [data]
-    figures = _encode_figures(replace(report, reads=[], crashes=[], cleared=[]))
-    if not (report.reads or report.crashes or report.cleared):
+    figures = _encode_figures(
+        replace(report, reads=[], crashes=[], cleared=[], streams=[])
+    )
+    if not (report.reads or report.crashes or report.cleared or report.streams):
         return [figures]
     hints = replace(report, loads={}, usage={}, failures={}, only_hints=True)
     return [_encoder.encode(hints), figures]
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -23,6 +23,7 @@
 from .pause_recovery import is_view_stale, wait_for_view
 from .request_checks import RESPONSE_MARGIN_S
 from .request_records import record_failure, record_result, record_view_at_send
+from .stream_resumption import record_stream_begin
 
 _MAX_UNREPEATABLE_IDLE_S = 1.0
 # Statuses that imply that the request was not run; trusted only with a signature.
@@ -156,7 +157,15 @@
         return Failure(Fault.AMBIGUOUS, "unsigned not-run status", head.status)
     if ctx.route.kind is RouteKind.STREAM and head.status == 200:
         instance = choice.instance
-        return await streams.forward_stream(state, ctx, exchange, head, instance, work)
+        return await streams.forward_stream(
+            state,
+            ctx,
+            exchange,
+            head,
+            instance,
+            work,
+            on_begin=lambda: record_stream_begin(state, ctx, instance),
+        )
     body = await exchange.read_body()
     if isinstance(body, Failure):
         return body
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/handler.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/handler.py
@@ -30,6 +30,7 @@
     make_deadline_refusal,
     make_failure_refusal,
 )
+from .stream_resumption import bind_stream
 
 _MIN_REMAINING_S = 0.02
 _MAX_CONNECT_FAILURE_COUNT = 3
@@ -72,6 +73,8 @@
     refusal = check_request(state, ctx)
     if refusal is None:
         refusal = await check_quarantine(state, ctx)
+    if refusal is None:
+        refusal = await bind_stream(state, ctx)
     if refusal is None:
         refusal = await _admit(state, ctx)
     if refusal is None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -66,6 +66,7 @@
         self._ready_server = ready
         listen = state.cfg.listen
         self._fleet = create_fleet(state, listen.reports)
+        state.ask_peers_for_origin = self._fleet.ask_for_origin
         read_policy = StoreReadPolicy(state, lambda: self._fleet.plan)
         state.quarantine_store = QuarantineStore(
             state, adapter.store, adapter.quarantine_topic
@@ -134,6 +135,7 @@
         self.timers.subscribe(
             "caches", _CACHE_CHECK_INTERVAL_S, self._cache_discovery.queue_new_engines
         )
+        self.timers.subscribe("versions", _CHECK_INTERVAL_S, self._observe_versions)
         self.timers.subscribe("domains", PROBE_CHECK_S, self._domain_prober.probe)
         self.timers.subscribe(
             "view-age", _VIEW_AGE_CHECK_S, self._view_age_monitor.check
@@ -233,6 +235,11 @@
         while self.state.clock() < deadline and not is_done():
             time.sleep(_STOP_POLL_S)
 
+    def _observe_versions(self):
+        state = self.state
+        if state.directory_known:
+            state.version_history.observe(state.directory, state.clock())
+
     def _has_unapplied_records(self):
         followers = (self._followers.catalog, self._followers.instances)
         return any(follower.unapplied for follower in followers)
@@ -247,6 +254,7 @@
         gauges.catalog_version.set(state.catalog.version if state.catalog else 0)
         gauges.suspects.set(len(state.suspects))
         gauges.quarantined.set(len(state.quarantine))
+        gauges.stream_origins.set(len(state.stream_origins))
         gauges.warming.set(len(state.slow_start))
         gauges.evacuated.set(len(state.evacuations.domains))
         gauges.view_offset.set(state.directory_position.offset)
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -150,6 +150,9 @@
             "suspect_requests", "Requests during which upstreams ended, not yet cleared"
         )
         self.quarantined = self._gauge("quarantined_requests", "Requests in quarantine")
+        self.stream_origins = self._gauge(
+            "stream_origins", "Recent streams whose service and version are known"
+        )
         self.report_bytes = self._gauge(
             "report_bytes_sent", "Bytes of reports sent to peers"
         )
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/candidates.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/candidates.py
@@ -18,6 +18,10 @@
     permitted = _keep_allowed_regions(state, ctx, ready)
     if not permitted:
         return Refusal(503, "no-upstream-in-region")
+    permitted = _keep_origin(ctx, permitted)
+    if not permitted:
+        # No upstream of the version will come back for this stream.
+        return Refusal(503, "no-upstream-of-version")
     ready = _drop_evacuated(state, permitted)
     if not ready:
         inputs = {"evacuated": sorted(state.evacuations.domains)}
@@ -48,6 +52,8 @@
     """Return why the chosen instance may no longer receive the request, or None."""
     if not state.directory.is_ready(instance.id):
         return "leaving"
+    if not _keep_origin(ctx, [state.directory.by_id.get(instance.id, instance)]):
+        return "version"
     if instance.domain in state.evacuations.domains:
         return "evacuated"
     if not _may_send(state, instance, now):
@@ -110,7 +116,14 @@
     instances = _keep_allowed_regions(
         state, ctx, state.directory.get_ready(ctx.service)
     )
-    return _drop_evacuated(state, instances)
+    return _drop_evacuated(state, _keep_origin(ctx, instances))
+
+
+def _keep_origin(ctx, instances):
+    """Return the instances that may go on with the stream of the request, if any."""
+    if ctx.origin is None:
+        return instances
+    return [instance for instance in instances if ctx.origin.matches(instance)]
 
 
 def _keep_allowed_regions(state, ctx, instances):
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -34,6 +34,7 @@
 from .stores import Position
 from .transport.headers import HeaderNames, get_replaced_headers, get_reserved_headers
 from .upstreams.connections import Connections
+from .upstreams.stream_origins import StreamOrigins, VersionHistory
 from .upstreams.upstream_exits import UpstreamExits
 from .view.directory import Directory
 from .view.evacuations import Evacuations
@@ -109,6 +110,10 @@
         self.backoffs = Backoffs()
         self.connections = Connections(clock)
         self.upstream_exits = UpstreamExits(clock, self.connections.keep)
+        self.stream_origins = StreamOrigins()
+        self.version_history = VersionHistory()
+        # Set by `gateway.Gateway`, because it sends reports to peers.
+        self.ask_peers_for_origin = None
         self.suspects = Suspects()
         self.quarantine = Quarantine()
         self.quarantine_position = Position(0, 0)
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
@@ -12,9 +12,11 @@
 _COALESCE_RATIO = 0.3
 
 
-async def forward_stream(state, ctx, exchange, head, instance, work):
+async def forward_stream(state, ctx, exchange, head, instance, work, on_begin):
     """Forward events as they arrive; return None at the end, or a `Failure`.
 
+    ``on_begin`` is called before the first events are sent to the client.
+
     Only whole events are sent, so that a stream that breaks off can be resumed at
     another upstream within the same response. A pause follows each write, so that
     events which follow closely are read and written together: most of the CPU time is
@@ -38,6 +40,8 @@
         blocks = splitter.feed(item.data)
         while (next_data := exchange.read_ready()) is not None:
             blocks += splitter.feed(next_data.data)
+        if blocks and not ctx.reply.started:
+            on_begin()
         if blocks:
             work.pace.observe(len(blocks), state.clock())
         failure = await _forward_blocks(ctx, head, blocks)
--- a/packages/valeweir_gateway/tests/test_candidates.py
+++ b/packages/valeweir_gateway/tests/test_candidates.py
@@ -78,6 +78,7 @@
             account=account,
             service="llm",
             excluded=set(),
+            origin=None,
             permit=None,
             deadline=NOW + 6.0,
             id="r1",
