--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/stream_resumption.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/stream_resumption.py
@@ -17,15 +17,15 @@
 async def bind_stream(state, ctx):
     """Bind a stream that is taken up to its origin.
 
-    Returns None, or the `Refusal` if the origin is not known. A client may then retry:
-    peers may learn the origin later.
+    Returns None, or the `Refusal` if the origin is not known, or none of its upstreams
+    is while the view is old. A client may then retry, as peers may know more.
     """
     if not _takes_up_stream(state, ctx):
         return None
     first_id = ctx.request.headers.get(state.names.resumes)
     origin = await _find_origin(state, ctx, first_id)
     service = None if origin is None else _find_service(ctx.route, origin)
-    if service is None:
+    if service is None or _may_lack_upstreams(state, origin):
         return Refusal(503, _UNKNOWN_CODE, retry_after=BUSY_RETRY_AFTER_S)
     ctx.service = service
     ctx.origin = origin
@@ -62,12 +62,23 @@
     return _get_only_origin(state, ctx)
 
 
+def _may_lack_upstreams(state, origin):
+    """Return whether an old view may lack the upstreams of an origin."""
+    if _is_view_recent(state):
+        return False
+    return not any(map(origin.matches, list(state.directory.by_id.values())))
+
+
+def _is_view_recent(state):
+    age = state.freshness.get_age(state.clock())
+    return age is not None and age <= _MAX_VIEW_AGE_S
+
+
 def _get_only_origin(state, ctx):
     """Return the origin that all recent streams of the route share, or None."""
-    now = state.clock()
-    age = state.freshness.get_age(now)
-    if age is None or age > _MAX_VIEW_AGE_S or len(ctx.route.targets) != 1:
+    if not _is_view_recent(state) or len(ctx.route.targets) != 1:
         return None
+    now = state.clock()
     state.version_history.observe(state.directory, now)
     return state.version_history.get_only_origin(ctx.route.targets[0].service, now)
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/response_ends.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/response_ends.py
@@ -13,14 +13,14 @@
     """Return None if the response may be complete, or the `Failure` of a broken one.
 
     The end of a response that only the close of its connection marks is checked against
-    the state of its upstream: one that has exited without having announced it has
-    broken the response off.
+    the state of its upstream: one that has exited although it still accepted requests
+    has broken the response off.
     """
     if ctx.partial_bytes:
         # The framing may have ended well and the connection been kept.
         state.connections.drop(instance.id)
         return _fail("the stream ended inside an event")
-    if is_end_confirmed(ctx) or state.directory.is_leaving(instance.id):
+    if is_end_confirmed(ctx) or not state.directory.is_ready(instance.id):
         return None
     if await state.upstream_exits.has_exited(instance, work.sent):
         return _fail("the upstream exited at the end of a response without a length")
@@ -34,7 +34,7 @@
 
 def has_survived(state, ctx, instance):
     """Return whether an upstream is known to have survived an answered request."""
-    return is_end_confirmed(ctx) or not state.directory.is_leaving(instance.id)
+    return is_end_confirmed(ctx) or state.directory.is_ready(instance.id)
 
 
 def _fail(text):
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/stream_origins.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/stream_origins.py
@@ -129,7 +129,8 @@
         )
         versions = [
             version
-            for version, at in self._seen.get(digest, {}).items()
+            # Other threads add versions.
+            for version, at in list(self._seen.get(digest, {}).items())
             if now - at < RETENTION_S
         ]
         if not is_complete or len(versions) != 1:
