--- a/packages/valeweir_cli/src/valeweir_cli/explain.py
+++ b/packages/valeweir_cli/src/valeweir_cli/explain.py
@@ -109,13 +109,19 @@
 
 
 def _find_request_lines(lines, request_id):
-    """Return the lines of a request and those that other attempts of it led to."""
+    """Return the lines of a request and those that other attempts of it led to.
+
+    Attempts that take up the same stream are included.
+    """
     own_lines = [line for line in lines if line.request_id == request_id]
     fingerprints = {line.fields.get("fingerprint") for line in own_lines} - {None}
+    stream_ids = {line.fields.get("resumes") for line in own_lines} - {None}
+    stream_ids.add(request_id)
     return [
         line
         for line in lines
-        if line.request_id == request_id
+        if line.request_id in stream_ids
+        or line.fields.get("resumes") in stream_ids
         or line.event in _FINGERPRINT_EVENTS
         and line.fields.get("fingerprint") in fingerprints
     ]
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/retry_policy.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/retry_policy.py
@@ -60,8 +60,10 @@
 
 def make_failure_refusal(state, ctx, failure):
     """Return the `Refusal` after a failed send, with the outcome of the request."""
-    if failure.fault is Fault.GONE or ctx.reply.started:
+    if failure.fault is Fault.GONE:
         return Refusal(499, "client-gone", Outcome.UNKNOWN)
+    if ctx.reply.started:
+        return Refusal(502, "stream-broken", Outcome.UNKNOWN)
     if failure.fault is Fault.LATE:
         return Refusal(504, "deadline", Outcome.UNKNOWN)
     if not ctx.may_have_run:
