--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/stream_origins.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/stream_origins.py
@@ -109,12 +109,13 @@
         """Record the versions of the instances that are known now."""
         if self._started_at is None:
             self._started_at = now
-        for instance in list(directory.by_id.values()):
-            origin = make_origin(instance)
-            self._seen.setdefault(origin.service, {})[origin.version] = now
+        instances = list(directory.by_id.values())
+        for service, version in {(row.service, row.version) for row in instances}:
+            origin = StreamOrigin(get_digest(service), get_digest(version))
+            self.observe_origin(origin, now)
 
     def observe_origin(self, origin, now):
-        """Record the version of a stream that a peer has begun."""
+        """Record the version of an instance, or of a stream that has begun."""
         self._seen.setdefault(origin.service, {})[origin.version] = now
 
     def get_only_origin(self, service, now):
