--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
@@ -1,6 +1,6 @@
 """Checks of a request against the configuration."""
 
-from ..placement.prompts import parse_prompt
+from ..placement.prompts import parse_prompt, parse_shared_parts
 from ..refusals import Refusal
 from ..transport.requests import BadRequest
 from ..view.catalog import RouteKind
@@ -31,6 +31,7 @@
         return Refusal(503, "stopping", retry_after=_STOPPING_RETRY_AFTER_S)
     ctx.service = _choose_service(state, ctx.route)
     ctx.last_event_id = headers.get(state.names.last_event_id)
+    ctx.shared_parts = parse_shared_parts(headers.get(state.names.prompt_parts))
     if ctx.route.kind is RouteKind.STREAM:
         ctx.prompt = parse_prompt(
             headers.get(state.names.token_counts),
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
@@ -34,6 +34,7 @@
         "route",
         "sends",
         "service",
+        "shared_parts",
         "spent",
         "share_status",
     )
@@ -47,6 +48,8 @@
         self.route = None
         self.account = None
         self.prompt = None
+        # Ids of the parts of the prompt that other requests may share.
+        self.shared_parts = ()
         self.allowed = 0.0
         self.deadline = arrived
         # Seconds that the client has spent on earlier attempts of this request.
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -18,6 +18,7 @@
 OUTDATED_CODE = "configuration-old"
 # Limits texts of clients in log lines, as clients may send anything.
 _MAX_ASKED_CHARS = 80
+_MAX_LOGGED_PARTS = 8
 
 
 def record_refusal(state, ctx, refusal):
@@ -94,7 +95,7 @@
     """Record the end of a send: health of the upstream, metrics and a log line."""
     now = state.clock()
     if failure is not None:
-        record_failure(state, ctx, choice, failure)
+        record_failure(state, ctx, choice, failure, work)
         return
     kind = ctx.route.kind.value
     state.metrics.served.labels(kind, ctx.response_status).inc()
@@ -137,8 +138,8 @@
     )
 
 
-def record_failure(state, ctx, choice, failure):
-    """Record a send without a complete response."""
+def record_failure(state, ctx, choice, failure, work=None):
+    """Record a send without a complete response; ``work`` is None if it was not sent."""
     now = state.clock()
     instance_id = choice.instance.id
     ejection_s = None
@@ -166,6 +167,7 @@
         status=failure.status,
         broke_off=failure.broke_off,
         **_describe_end(ctx),
+        **_describe_progress(ctx, work),
         **_describe_resumption(state, ctx),
         route=ctx.route.name,
         account=ctx.account.name if ctx.account else None,
@@ -232,6 +234,18 @@
     return {"framing": ctx.framing.value, "partial_bytes": ctx.partial_bytes}
 
 
+def _describe_progress(ctx, work):
+    """Return log fields of a prompt and of how far its response had come."""
+    if work is None or not ctx.shared_parts:
+        return {}
+    first_data_s = work.first_data_s
+    return {
+        "parts": [_truncate(part) for part in ctx.shared_parts[:_MAX_LOGGED_PARTS]],
+        "events": work.pace.event_count if work.pace else 0,
+        "first_ms": None if first_data_s is None else to_milliseconds(first_data_s),
+    }
+
+
 def _describe_resumption(state, ctx):
     """Return log fields of the stream that the client takes up, none for others."""
     headers = ctx.request.headers
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/prompts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/prompts.py
@@ -60,12 +60,27 @@
         return None
     try:
         tokens, _, output = counts.partition(",")
-        rows = [_parse_part(text) for text in parts.split(",")] if parts else []
-        return Prompt(int(tokens), int(output or 0), tuple(rows))
+        return Prompt(int(tokens), int(output or 0), _parse_parts(parts))
     except ValueError:
         return None
 
 
+def parse_shared_parts(text):
+    """Return the ids of the parts that other requests may share, in order.
+
+    ``text`` is the header value with the parts of a prompt, or None. The result is
+    empty if it is missing or malformed.
+    """
+    try:
+        return tuple(part.id for part in _parse_parts(text)[:-1])
+    except ValueError:
+        return ()
+
+
+def _parse_parts(text):
+    return tuple(map(_parse_part, text.split(","))) if text else ()
+
+
 def _parse_part(text):
     name, _, tokens = text.strip().partition(":")
     return Part(name, int(tokens))
