--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -139,7 +139,7 @@
 
 
 def record_failure(state, ctx, choice, failure, work=None):
-    """Record a send without a complete response; ``work`` is None if it was not sent."""
+    """Record a send without a complete response, or that failed before it."""
     now = state.clock()
     instance_id = choice.instance.id
     ejection_s = None
