--- a/packages/valeweir_cli/src/valeweir_cli/explain.py
+++ b/packages/valeweir_cli/src/valeweir_cli/explain.py
@@ -16,6 +16,8 @@
 _FINGERPRINT_EVENTS = frozenset(
     (
         "upstream ended under request",
+        "upstream ended under part",
+        "version sound",
         "request quarantined",
         "trial sent",
         "request released",
--- a/packages/valeweir_cli/tests/test_explain.py
+++ b/packages/valeweir_cli/tests/test_explain.py
@@ -176,6 +176,17 @@
         rows = json.loads(self.run_explain(self.path, "q2", "--json").output)
         self.assertEqual([row["at"] for row in rows], [0.0, 1.0, 4.0])
 
+    def test_lines_of_other_requests_with_same_part(self):
+        lines = [
+            ("upstream ended under part", "h-1", {"id": "q1", "fingerprint": "ab"}),
+            ("upstream ended under part", "h-1", {"id": "q1", "fingerprint": "cd"}),
+            ("request quarantined", "h-2", {"fingerprint": "ab", "part": "p"}),
+            ("request refused", "h-2", {"id": "q2", "fingerprint": "ab", "part": "p"}),
+        ]
+        self.write(lines)
+        rows = json.loads(self.run_explain(self.path, "q2", "--json").output)
+        self.assertEqual([row["at"] for row in rows], [0.0, 2.0, 3.0])
+
     def test_lines_of_other_attempts_of_a_stream(self):
         rows = [
             ("request refused", "h-1", {"id": "q1", "why": "stream-broken"}),
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -93,7 +93,7 @@
         _record_answer(state, ctx, instance, work)
     elif failure.broke_off:
         # Before the next send, as this request may have crashed the upstream.
-        await on_connection_broken(state, ctx, instance, work.sent, work.first_data_s)
+        await on_connection_broken(state, ctx, instance, work.sent, work.is_proved)
     return failure
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -254,6 +254,7 @@
         gauges.catalog_version.set(state.catalog.version if state.catalog else 0)
         gauges.suspects.set(len(state.suspects))
         gauges.quarantined.set(len(state.quarantine))
+        gauges.quarantined_parts.set(state.quarantine.count_parts())
         gauges.stream_origins.set(len(state.stream_origins))
         gauges.warming.set(len(state.slow_start))
         gauges.evacuated.set(len(state.evacuations.domains))
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -147,9 +147,15 @@
             "domains_evacuated", "Failure domains that receive no new work"
         )
         self.suspects = self._gauge(
-            "suspect_requests", "Requests during which upstreams ended, not yet cleared"
+            "suspect_requests",
+            "Requests and parts during which upstreams ended, not yet cleared",
+        )
+        self.quarantined = self._gauge(
+            "quarantined_requests", "Requests and parts of prompts in quarantine"
+        )
+        self.quarantined_parts = self._gauge(
+            "quarantined_parts", "Parts of prompts in quarantine"
         )
-        self.quarantined = self._gauge("quarantined_requests", "Requests in quarantine")
         self.stream_origins = self._gauge(
             "stream_origins", "Recent streams whose service and version are known"
         )
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/quarantine_api.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/quarantine_api.py
@@ -1,4 +1,4 @@
-"""HTTP API for operators that lists and releases quarantined requests."""
+"""HTTP API for operators that lists and releases quarantined requests and parts."""
 
 import msgspec
 
@@ -9,7 +9,7 @@
 
 
 def create_quarantine_handler(state):
-    """Return the handler that lists quarantined requests and releases one.
+    """Return the handler that lists quarantined requests and parts and releases one.
 
     ``GET`` of the path returns a list. ``DELETE`` of the path and a fingerprint
     releases that request at every gateway; the status is 204, or 404 if the request
@@ -26,7 +26,9 @@
             return
         now = state.clock()
         rows = state.quarantine.get_all().items()
-        reply.send_json(200, [_encode_entry(key, entry, now) for key, entry in rows])
+        reply.send_json(
+            200, [_encode_entry(state, key, entry, now) for key, entry in rows]
+        )
 
     return handle
 
@@ -39,8 +41,9 @@
     return crash_attribution.release(state, fingerprint)
 
 
-def _encode_entry(fingerprint, entry, now):
+def _encode_entry(state, fingerprint, entry, now):
     return {
+        "refused_here": state.quarantine.get_refusal_count(fingerprint),
         "fingerprint": format_fingerprint(fingerprint),
         "held_for_s": round(now - entry.since, 1),
         "next_trial_s": None if entry.due is None else round(entry.due - now, 1),
--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/instance_loads.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/instance_loads.py
@@ -60,7 +60,8 @@
     were at the instance before it; ``sent`` is the time of sending and ``first_data_s``
     the seconds until the first data of the response. ``body_bytes`` is the size of the
     request's body until the head of the response has arrived, then 0.
-    ``pace`` is the `stream_pace.StreamPace` of a stream, None for other responses.
+    ``pace`` is the `stream_pace.StreamPace` of a stream, None for other responses, and
+    ``is_proved`` is whether the stream has cleared the parts of its prompt.
     """
 
     __slots__ = (
@@ -69,6 +70,7 @@
         "first_data_s",
         "instance_id",
         "is_prompt_read",
+        "is_proved",
         "pace",
         "running",
         "sent",
@@ -84,4 +86,5 @@
         self.sent = sent
         self.first_data_s = None
         self.is_prompt_read = False
+        self.is_proved = False
         self.pace = None
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
@@ -13,8 +13,8 @@
 from ..refusals import Refusal
 from .crashes import Crash
 from .fingerprints import format_fingerprint, get_part_fingerprint
-from .part_answers import Answer, has_proof
-from .records import QuarantineRecord, is_confirmed, needs_quarantine
+from .part_answers import Answer
+from .records import QuarantineRecord, is_certain, is_confirmed, needs_quarantine
 
 # Retry-After of a quarantined request that only an operator can release.
 _OPERATOR_RETRY_AFTER_S = 60.0
@@ -125,7 +125,12 @@
     if entry is None:
         return True
     is_sound = version in entry.record.sound
-    return is_sound and version not in state.suspects.get_versions(fingerprint)
+    return is_sound and not _has_crashed_often(state, fingerprint, version)
+
+
+def _has_crashed_often(state, fingerprint, version):
+    count = state.suspects.get_version_crash_count(fingerprint, version)
+    return needs_quarantine(count)
 
 
 def refuse_quarantined(state, ctx):
@@ -138,6 +143,7 @@
         entry = state.quarantine.get(fingerprint)
         if entry is None:
             continue
+        state.quarantine.record_refusal(fingerprint)
         due = _OPERATOR_RETRY_AFTER_S if entry.due is None else entry.due - now
         if due <= retry_after and len(inputs) > 1:
             continue
@@ -152,15 +158,16 @@
     return Refusal(503, "quarantined", retry_after=retry_after, inputs=inputs)
 
 
-async def on_connection_broken(state, ctx, instance, sent, first_data_s=None):
+async def on_connection_broken(state, ctx, instance, sent, is_proved=False):
     """Record a crash if the upstream of a broken connection has terminated.
 
     Parameters
     ----------
     sent : float
         When the request was sent.
-    first_data_s : float or None
-        Seconds from then to the first data of the response.
+    is_proved : bool
+        Whether the response had gone on for long enough to clear the parts of the
+        prompt, see `part_answers`.
     """
     ended = state.clock()
     if not await state.upstream_exits.has_exited(instance, sent):
@@ -168,7 +175,7 @@
     state.metrics.upstream_ends.inc()
     crash = Crash(get_digest(instance.id), sent, ended)
     # First, as parts are shared by requests that other gateways are about to send.
-    if not has_proof(sent, first_data_s, ended):
+    if not is_proved:
         _record_part_crashes(state, ctx, instance, crash)
     state.notices.append(Notice(ctx.fingerprint, crash))
     _eject_upstream(state, crash, ended)
@@ -217,7 +224,7 @@
                 was_answered=count.was_answered,
                 **_describe_request(ctx, fingerprint),
             )
-        if needs_quarantine(count):
+        if _is_part_to_blame(state, fingerprint, count):
             _quarantine(state, fingerprint, count, now, ctx, parts[fingerprint])
 
 
@@ -228,6 +235,20 @@
     return state.suspects.add(fingerprint, crash, now)
 
 
+def _is_part_to_blame(state, fingerprint, count):
+    """Return whether a part is quarantined.
+
+    One that was answered before is not blamed for the crashes of another part, which
+    its requests may share.
+    """
+    if not needs_quarantine(count):
+        return False
+    if not count.was_answered:
+        return True
+    causes = state.quarantine.get_all().keys()
+    return needs_quarantine(state.suspects.get_crash_count(fingerprint, causes))
+
+
 def on_request_answered(state, ctx):
     """Clear a request that got a complete response: it did not cause the crashes."""
     if not state.suspects and not state.quarantine:
@@ -286,8 +307,8 @@
     entry = state.quarantine.get(fingerprint)
     if entry is None or answer.version in entry.record.sound:
         return was_suspect
-    if answer.version in state.suspects.get_versions(fingerprint):
-        # The response began before the last crash.
+    if _has_crashed_often(state, fingerprint, answer.version):
+        # The response began before these crashes.
         return was_suspect
     record = entry.record.add_sound_version(answer.version)
     text = format_fingerprint(fingerprint)
@@ -309,17 +330,17 @@
         was_suspect = state.suspects.clear_suspect(fingerprint, now)
         return state.quarantine.remove(fingerprint) or was_suspect
     _eject_upstream(state, crash, now)
-    add = _add_part_crash if crash.is_of_part else _add_request_crash
-    count = add(state, fingerprint, crash, now)
-    if count is not None and needs_quarantine(count):
+    if crash.is_of_part:
+        count = _add_part_crash(state, fingerprint, crash, now)
+        to_blame = count is not None and _is_part_to_blame(state, fingerprint, count)
+    else:
+        count = state.suspects.add(fingerprint, crash, now)
+        to_blame = count is not None and needs_quarantine(count)
+    if to_blame:
         _quarantine(state, fingerprint, count, now)
     return count is not None
 
 
-def _add_request_crash(state, fingerprint, crash, now):
-    return state.suspects.add(fingerprint, crash, now)
-
-
 def apply_record(state, fingerprint, record, now):
     """Apply a record of the store; ``record`` is None when it was removed."""
     text = format_fingerprint(fingerprint)
@@ -402,16 +423,11 @@
 
     ``ctx`` is given if this gateway observed the crash.
     """
-    quarantined = state.quarantine.get_all().keys()
-    unexplained = state.suspects.count_unexplained_crashes(
-        fingerprint, quarantined, now
-    )
-    unexplained += state.suspects.has_rivals(fingerprint)
     versions = state.suspects.get_versions(fingerprint)
     record = QuarantineRecord(
         count.upstreams,
         count.runs,
-        is_sure=is_confirmed(count, unexplained),
+        is_sure=_is_sure(state, fingerprint, count, now),
         account=ctx.account.name if ctx and ctx.account else None,
         target=ctx.request.target[:_MAX_TARGET_CHARS] if ctx else "",
         host=state.cfg.host,
@@ -430,6 +446,18 @@
     state.quarantine_store.schedule_write(fingerprint, observed=ctx is not None)
 
 
+def _is_sure(state, fingerprint, count, now):
+    """Return whether nothing but a suspect can have caused its crashes."""
+    quarantined = state.quarantine.get_all().keys()
+    suspects = state.suspects
+    unexplained = suspects.count_unexplained_crashes(fingerprint, quarantined, now)
+    if not suspects.get_versions(fingerprint):
+        return is_confirmed(count, unexplained)
+    unexplained += suspects.has_rivals(fingerprint)
+    own = suspects.get_crash_count(fingerprint, quarantined)
+    return is_confirmed(own, unexplained) or is_certain(count)
+
+
 def _find_sound_versions(state, fingerprint, crashed, now):
     """Return the versions that have answered a part of late and never crashed."""
     if not crashed:
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crashes.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crashes.py
@@ -110,10 +110,35 @@
             self._trim()
             return None if count == before else count
 
-    def get_crash_count(self, fingerprint):
-        """Return the `CrashCount` of a suspect."""
+    def get_version_crash_count(self, fingerprint, version):
+        """Return the `CrashCount` of a part at a software version."""
         with self._lock:
-            return count_crashes(self._crashes.get(fingerprint, ()))
+            crashes = self._crashes.get(fingerprint, ())
+            return count_crashes(row for row in crashes if row.version == version)
+
+    def get_crash_count(self, fingerprint, causes=frozenset()):
+        """Return the `CrashCount` of a suspect.
+
+        Crashes at which one of the other ``causes`` was running are left out.
+        """
+        with self._lock:
+            crashes = self._crashes.get(fingerprint, ())
+            others = causes - {fingerprint}
+            if not others:
+                return count_crashes(crashes)
+            explained = [
+                known
+                for known in self._instance_crashes
+                if not known.fingerprints.isdisjoint(others)
+            ]
+            return count_crashes(
+                crash
+                for crash in crashes
+                if not any(
+                    is_same_crash(known.instance, known.ended_at, crash)
+                    for known in explained
+                )
+            )
 
     def get_versions(self, fingerprint):
         """Return the digests of the versions that crashed while they ran a part."""
@@ -130,17 +155,17 @@
             )
 
     def has_rivals(self, fingerprint):
-        """Return whether another part was running at all crashes of a part."""
+        """Return whether another part was running at all crashes of a part.
+
+        Not all gateways may have reported the last crash yet, so it does not count.
+        """
         with self._lock:
             crashes = self._crashes.get(fingerprint, ())
             groups = [
                 known.fingerprints
+                for crash in crashes[:-1]
                 for known in self._instance_crashes
-                if any(
-                    is_same_crash(known.instance, known.ended_at, crash)
-                    for crash in crashes
-                    if crash.is_of_part
-                )
+                if is_same_crash(known.instance, known.ended_at, crash)
             ]
             if not groups:
                 return False
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/part_answers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/part_answers.py
@@ -9,8 +9,8 @@
 import threading
 from typing import NamedTuple
 
-# A response that has gone on for this long after its first data counts as complete.
-PROOF_S = 1.0
+# A response of which more data arrives this long after the first counts as complete.
+PROOF_S = 0.5
 # How long a part is known to have been answered.
 _RECENT_S = 60.0
 _MAX_COUNT = 16_384
@@ -84,16 +84,3 @@
         while self._rows and self._rows[0].due <= now:
             rows.append(self._rows.popleft())
         return rows
-
-
-def has_proof(sent, first_data_s, now):
-    """Return whether a response has gone on for long enough to clear its parts.
-
-    Parameters
-    ----------
-    sent : float
-        When the request was sent.
-    first_data_s : float or None
-        Seconds from then to the first data of the response.
-    """
-    return first_data_s is not None and now - sent - first_data_s >= PROOF_S
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/records.py
@@ -7,6 +7,7 @@
 upstream with all requests running there.
 """
 
+import collections
 import threading
 from typing import NamedTuple
 
@@ -22,6 +23,9 @@
 # request. With one of six upstreams killed every 0.7 s for other reasons, one in fifty
 # of the requests sent up to four times met three crashes (30 simulated minutes).
 _EXTRA_UPSTREAM_COUNT = 1
+# Further crashes that confirm the cause although other parts may be to blame as well,
+# as some parts are always sent together.
+_CERTAIN_EXTRA_COUNT = 2
 # Consecutive sends that distinguish a request from those that ran concurrently.
 _MIN_RUN_COUNT = 2
 # By the first trial, clients that retry at once have given up; before the second,
@@ -153,6 +157,12 @@
     return count.upstreams >= needed and count.runs >= _MIN_RUN_COUNT
 
 
+def is_certain(count):
+    """Return whether so many upstreams crashed that other causes do not matter."""
+    needed = _get_min_count(count) + _CERTAIN_EXTRA_COUNT
+    return count.upstreams >= needed and count.runs >= _MIN_RUN_COUNT
+
+
 def _get_min_count(count):
     if count.was_answered:
         return _MIN_COUNT_OF_ANSWERED_PART
@@ -166,6 +176,8 @@
         self._entries = {}
         # Fingerprints whose newest record is in the store.
         self._stored = set()
+        # Requests that this gateway has refused, by fingerprint.
+        self._refused = collections.Counter()
         self._lock = threading.Lock()
 
     def __len__(self):
@@ -183,6 +195,20 @@
         with self._lock:
             return dict(self._entries)
 
+    def count_parts(self):
+        """Return the number of quarantined parts of prompts."""
+        return sum(bool(row.record.versions) for row in self.get_all().values())
+
+    def record_refusal(self, fingerprint):
+        """Count a request that this gateway refuses because of a quarantine."""
+        with self._lock:
+            if fingerprint in self._entries:
+                self._refused[fingerprint] += 1
+
+    def get_refusal_count(self, fingerprint):
+        """Return how many requests this gateway refused because of a quarantine."""
+        return self._refused[fingerprint]
+
     def is_stored(self, fingerprint):
         """Return whether the newest record is known to be in the store."""
         return fingerprint in self._stored
@@ -198,11 +224,9 @@
         """
         with self._lock:
             known = self._entries.get(fingerprint)
-            if known is not None and record.part is None:
-                # Only gateways that have run a request with the part know its name.
-                record = msgspec.structs.replace(
-                    record, part=known.record.part, service=known.record.service
-                )
+            if known is not None:
+                known, record = _share_part_name(known, record)
+                self._entries[fingerprint] = known
             if known is None or _get_rank(record) > _get_rank(known.record):
                 self._entries[fingerprint] = QuarantineEntry(now, record)
                 self._stored.discard(fingerprint)
@@ -235,8 +259,22 @@
 
     def _drop(self, fingerprint):
         self._stored.discard(fingerprint)
+        self._refused.pop(fingerprint, None)
         return self._entries.pop(fingerprint, None) is not None
 
 
+def _share_part_name(entry, record):
+    """Return an entry and a record of the same part, each with its name if known.
+
+    Only gateways that have received a request with the part know it.
+    """
+    part = record.part or entry.record.part
+    service = record.service or entry.record.service
+    named = msgspec.structs.replace(entry.record, part=part, service=service)
+    return entry._replace(record=named), msgspec.structs.replace(
+        record, part=part, service=service
+    )
+
+
 def _get_rank(record):
     return (record.is_sure, record.trials, len(record.sound))
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
@@ -1,6 +1,6 @@
 """Forwarding of event streams in units of whole events."""
 
-from ..quarantine.part_answers import has_proof
+from ..quarantine.part_answers import PROOF_S
 from ..transport.events import EventSplitter, is_later
 from ..transport.replies import ClientDisconnected
 from ..transport.responses import Data, End
@@ -29,7 +29,6 @@
     """
     splitter = EventSplitter(is_continuation=ctx.reply.started)
     work.pace = StreamPace()
-    is_proved = False
     coalesce_s = state.cfg.streams.max_delay_ms / 1000.0 * _COALESCE_RATIO
     while True:
         item = await exchange.read()
@@ -43,8 +42,8 @@
         assert isinstance(item, Data)
         now = state.clock()
         state.loads.record_progress(work, now)
-        if not is_proved and has_proof(work.sent, work.first_data_s, now):
-            is_proved = True
+        if not work.is_proved and now - work.sent - work.first_data_s >= PROOF_S:
+            work.is_proved = True
             on_proof()
         blocks = splitter.feed(item.data)
         while (next_data := exchange.read_ready()) is not None:
