--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/quarantine_store.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/quarantine_store.py
@@ -8,6 +8,7 @@
 import asyncio
 import threading
 import time
+from typing import NamedTuple
 
 import msgspec
 from valeweir.exceptions import PlatformUnavailable
@@ -25,11 +26,20 @@
 # response time, and the interval between such requests.
 _CLAIM_TIMEOUT_S = 0.3
 _CLAIM_INTERVAL_S = 0.5
+# A trial that is granted late and not sent within this time is lost.
+_LATE_GRANT_TTL_S = 5.0
 # Random delay before a gateway that did not observe the crash writes the record. The
 # first one that is due writes, and the others then read its record.
 _BACKUP_WRITE_DELAY_S = (0.5, 2.0)
 
 
+class LateGrant(NamedTuple):
+    """A trial at a software version that may be sent ``until`` a time."""
+
+    version: int | None
+    until: float
+
+
 class QuarantineStore:
     """Writes quarantine records and claims trials.
 
@@ -47,6 +57,7 @@
         # {fingerprint: when to write, on the gateway's clock}.
         self._due = {}
         self._next_claim_at = 0.0
+        self._late_grants = {}
         self._changed = threading.Condition()
 
     def start(self, stopped):
@@ -108,9 +119,13 @@
     async def claim_trial(self, fingerprint, version=None):
         """Return whether this gateway may send the next trial, and count it.
 
-        Only one request at a time waits for the store, for a limited time.
+        Only one request at a time waits for the store, for a limited time. If the store
+        grants the trial later than that, the next request has it.
         """
         now = self._state.clock()
+        granted = self._late_grants.pop(fingerprint, None)
+        if granted is not None and granted.version == version and now < granted.until:
+            return True
         if now < self._next_claim_at:
             return False
         self._next_claim_at = now + _CLAIM_INTERVAL_S
@@ -119,10 +134,19 @@
             None, self.claim_trial_blocking, fingerprint, version
         )
         try:
-            return await asyncio.wait_for(claimed, _CLAIM_TIMEOUT_S)
+            return await asyncio.wait_for(asyncio.shield(claimed), _CLAIM_TIMEOUT_S)
         except TimeoutError:
+            claimed.add_done_callback(
+                lambda fut: self.keep_late_grant(fingerprint, version, fut.result())
+            )
             return False
 
+    def keep_late_grant(self, fingerprint, version, granted):
+        """Keep a trial that was granted after its request had given up."""
+        if granted:
+            until = self._state.clock() + _LATE_GRANT_TTL_S
+            self._late_grants[fingerprint] = LateGrant(version, until)
+
     def claim_trial_blocking(self, fingerprint, version=None):
         """Count a trial in the store; return whether this gateway's claim won."""
         state = self._state
--- a/packages/valeweir_gateway/tests/test_quarantine.py
+++ b/packages/valeweir_gateway/tests/test_quarantine.py
@@ -275,6 +275,37 @@
         store = self.states[0].quarantine_store
         self.assertFalse(asyncio.run(claim_twice(store, released)))
 
+    # Guards against a trial that is counted but never sent, because the store granted
+    # it after the request had given up, as at the end of an outage.
+    def test_late_grant_serves_the_next_request(self):
+        self.quarantine_request(self.states[0], True)
+        self.write_due()
+        self.sync()
+        released = threading.Event()
+        self.addCleanup(released.set)
+        self.store.before_put = released.wait
+        store = self.states[0].quarantine_store
+
+        async def claim_before_and_after():
+            granted = [await store.claim_trial(CRASHING)]
+            released.set()
+            while self.get_record().trials == 0:
+                await asyncio.sleep(0.01)
+            await asyncio.sleep(0.05)
+            granted += [await store.claim_trial(CRASHING) for _ in range(2)]
+            return granted
+
+        self.assertEqual(asyncio.run(claim_before_and_after()), [False, True, False])
+        self.assertEqual(self.get_record().trials, 1)
+
+    def test_late_grant_expires(self):
+        store = self.states[0].quarantine_store
+        store.keep_late_grant(CRASHING, None, True)
+        self.clock.now += 6.0
+        self.store.is_unavailable = True
+        self.quarantine_request(self.states[0], True)
+        self.assertFalse(asyncio.run(store.claim_trial(CRASHING)))
+
     def test_new_gateway_loads_stored_quarantines(self):
         self.quarantine_request(self.states[0], True)
         self.write_due()
