--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/handler.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/handler.py
@@ -14,6 +14,7 @@
 from ..placement.choice import choose_engine, choose_instance
 from ..quarantine.crash_attribution import (
     check_quarantine,
+    claim_trial,
     drop_quarantined,
     refuse_quarantined,
 )
@@ -74,11 +75,14 @@
     ctx.id = request.headers.get(state.names.request_id, "")
     refusal = check_request(state, ctx)
     if refusal is None:
-        refusal = await check_quarantine(state, ctx)
+        refusal = check_quarantine(state, ctx)
     if refusal is None:
         refusal = await bind_stream(state, ctx)
     if refusal is None:
         refusal = await _admit(state, ctx)
+    if refusal is None:
+        # Only now, as a trial that is refused would be counted as well.
+        refusal = await claim_trial(state, ctx)
     if refusal is None:
         refusal = await _serve(state, ctx)
     if refusal is not None:
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
@@ -37,7 +37,7 @@
         "service",
         "shared_parts",
         "spent",
-        "trial_version",
+        "trial",
         "share_status",
     )
 
@@ -81,10 +81,10 @@
         self.draw = 0.0
         # Id of the warming instance that the request may be sent to, see `slow_start`.
         self.permit = None
-        # Whether this is a trial of a quarantined request, and the digest of the only
-        # software version that it may be sent to, None for any.
+        # The `crash_attribution.Trial` that is due if the request is quarantined, and
+        # whether this gateway may send it.
+        self.trial = None
         self.is_trial = False
-        self.trial_version = None
         # Whether the last send requested the whole response, not the rest of a stream.
         self.is_from_start = True
         self._fingerprint = None
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
@@ -44,10 +44,17 @@
     return {get_part_fingerprint(ctx.service, part): part for part in ctx.shared_parts}
 
 
-async def check_quarantine(state, ctx):
+class Trial(NamedTuple):
+    """A send of a quarantined request, to one software version or, if None, to any."""
+
+    fingerprint: int
+    version: int | None
+
+
+def check_quarantine(state, ctx):
     """Return the `Refusal` of a quarantined request, or None if it may be sent.
 
-    When a trial is due, the gateway of the fleet that claims it forwards the request.
+    A request for which a trial is due has to claim it, see `claim_trial`.
     """
     if not state.quarantine:
         # Saves the digest of the request.
@@ -60,37 +67,39 @@
     held = {version: _keep_held(state, quarantined, version) for version in versions}
     if not quarantined or not all(held.values()):
         return None
-    if await _claim_trial(state, ctx, quarantined, held):
-        return None
-    return refuse_quarantined(state, ctx)
+    ctx.trial = _find_due_trial(state, quarantined, versions)
+    return None if ctx.trial else refuse_quarantined(state, ctx)
 
 
-async def _claim_trial(state, ctx, quarantined, held):
-    """Return whether this request may be sent as a trial.
+def _find_due_trial(state, quarantined, versions):
+    """Return the `Trial` that a request with quarantined fingerprints may be, or None.
 
-    Parameters
-    ----------
-    quarantined : list of int
-        Quarantined fingerprints of the request. If there are several, a response
-        cannot tell which of them crashes upstreams.
-    held : dict of int to list of int
-        Those that each version in service must not receive.
+    If there are several, a response cannot tell which of them crashes upstreams.
     """
-    if len(quarantined) != 1:
-        return False
-    fingerprint = quarantined[0]
-    entry = state.quarantine.get(fingerprint)
-    if entry is None:
-        return False
-    version = entry.record.pick_trial_version(held)
+    entry = state.quarantine.get(quarantined[0])
+    if entry is None or len(quarantined) > 1:
+        return None
+    version = entry.record.pick_trial_version(versions)
     if not entry.is_trial_due(state.clock(), version):
-        return False
-    if not await state.quarantine_store.claim_trial(fingerprint, version):
-        return False
-    ctx.is_trial = True
-    ctx.trial_version = version
-    state.log.note("trial sent", **_describe_trial(ctx, fingerprint, entry.record))
-    return True
+        return None
+    return Trial(quarantined[0], version)
+
+
+async def claim_trial(state, ctx):
+    """Return None if an admitted request may be sent, or its `Refusal`.
+
+    Of the requests for which a trial is due, only one in the fleet is sent.
+    """
+    if ctx.trial is None:
+        return None
+    entry = state.quarantine.get(ctx.trial.fingerprint)
+    ctx.is_trial = await state.quarantine_store.claim_trial(*ctx.trial)
+    if not ctx.is_trial:
+        return refuse_quarantined(state, ctx)
+    if entry is not None:
+        described = _describe_trial(ctx, ctx.trial.fingerprint, entry.record)
+        state.log.note("trial sent", **described)
+    return None
 
 
 def drop_quarantined(state, ctx, instances):
@@ -102,7 +111,7 @@
     def may_receive(instance):
         version = get_digest(instance.version)
         if ctx.is_trial:
-            return ctx.trial_version in (None, version)
+            return ctx.trial.version in (None, version)
         return not _keep_held(state, quarantined, version)
 
     return [instance for instance in instances if may_receive(instance)]
