--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/crash_attribution.py
@@ -39,11 +39,6 @@
     answer: Answer | None = None
 
 
-def get_part_fingerprints(ctx):
-    """Return {fingerprint: id} of the parts of a prompt that others may share."""
-    return {get_part_fingerprint(ctx.service, part): part for part in ctx.shared_parts}
-
-
 class Trial(NamedTuple):
     """A send of a quarantined request, to one software version or, if None, to any."""
 
@@ -51,6 +46,11 @@
     version: int | None
 
 
+def get_part_fingerprints(ctx):
+    """Return {fingerprint: id} of the parts of a prompt that others may share."""
+    return {get_part_fingerprint(ctx.service, part): part for part in ctx.shared_parts}
+
+
 def check_quarantine(state, ctx):
     """Return the `Refusal` of a quarantined request, or None if it may be sent.
 
@@ -64,8 +64,8 @@
         get_digest(instance.version)
         for instance in state.directory.get_ready(ctx.service)
     }
-    held = {version: _keep_held(state, quarantined, version) for version in versions}
-    if not quarantined or not all(held.values()):
+    held = [_keep_held(state, quarantined, version) for version in versions]
+    if not quarantined or not versions or not all(held):
         return None
     ctx.trial = _find_due_trial(state, quarantined, versions)
     return None if ctx.trial else refuse_quarantined(state, ctx)
@@ -323,6 +323,7 @@
     text = format_fingerprint(fingerprint)
     if record.is_disproved:
         state.quarantine.remove(fingerprint)
+        state.quarantine_store.cancel_write(fingerprint)
         state.log.note("request released", why="answered", fingerprint=text)
     else:
         state.quarantine.put(fingerprint, record, state.clock())
@@ -355,7 +356,7 @@
     text = format_fingerprint(fingerprint)
     if record is None:
         state.suspects.clear_suspect(fingerprint, now)
-        state.quarantine_store.on_record_removed(fingerprint)
+        state.quarantine_store.cancel_write(fingerprint)
         if state.quarantine.remove(fingerprint):
             state.log.note("request released", why="record gone", fingerprint=text)
         return
--- a/packages/valeweir_gateway/src/valeweir_gateway/quarantine/quarantine_store.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/quarantine/quarantine_store.py
@@ -87,8 +87,8 @@
             self._due.pop(fingerprint, None)
         self._schedule(fingerprint, observed)
 
-    def on_record_removed(self, fingerprint):
-        """Cancel a scheduled removal, as the store holds no record any more."""
+    def cancel_write(self, fingerprint):
+        """Cancel what is scheduled for a suspect that is not in quarantine any more."""
         if self._state.quarantine.get(fingerprint) is None:
             with self._changed:
                 self._due.pop(fingerprint, None)
--- a/packages/valeweir_gateway/tests/test_crashing_parts.py
+++ b/packages/valeweir_gateway/tests/test_crashing_parts.py
@@ -36,6 +36,9 @@
     def schedule_removal(self, fingerprint, observed=True):
         """Do nothing."""
 
+    def cancel_write(self, fingerprint):
+        """Do nothing."""
+
 
 def make_crash(number, at=None, version=V1, request=None, **fields):
     """Return the crash of a part at an instance, 0.1 s after the request was sent."""
@@ -294,6 +297,29 @@
         self.assertEqual((report.part_crashes, report.part_answers), ([], []))
 
 
+class TestChecks(GatewayCase):
+    def check(self, *versions):
+        for version in versions:
+            instance = Instance(version, "llm", "h:1", "a", 8, True, version=version)
+            self.state.directory.put(instance)
+        ctx = SimpleNamespace(service="llm", shared_parts=("part",), fingerprint=1)
+        return crash_attribution.check_quarantine(self.state, ctx), ctx
+
+    def test_part_is_refused(self):
+        self.crash(3)
+        self.assertEqual(self.check("v1")[0].code, "quarantined")
+
+    def test_version_that_was_not_tried_gets_a_trial(self):
+        self.crash(3)
+        refusal, ctx = self.check("v1", "v2")
+        self.assertEqual((refusal, ctx.trial), (None, (PART, V2)))
+
+    # Guards against an error where a quarantined part has no upstream at all.
+    def test_service_without_upstreams(self):
+        self.crash(3)
+        self.assertIsNone(self.check()[0])
+
+
 class TestPartsOfRequests(unittest.TestCase):
     def test_parts_of_services_differ(self):
         contexts = [
--- a/packages/valeweir_gateway/tests/test_crashing_parts_model.py
+++ b/packages/valeweir_gateway/tests/test_crashing_parts_model.py
@@ -45,6 +45,7 @@
         self.state.quarantine_store = SimpleNamespace(
             schedule_write=lambda *_, **__: None,
             schedule_removal=lambda *_, **__: None,
+            cancel_write=lambda *_: None,
         )
         self.length_s = length_s
         self.back_at = dict.fromkeys(range(upstream_count), 0.0)
