--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
@@ -31,12 +31,13 @@
         return Refusal(503, "stopping", retry_after=_STOPPING_RETRY_AFTER_S)
     ctx.service = _choose_service(state, ctx.route)
     ctx.last_event_id = headers.get(state.names.last_event_id)
-    ctx.shared_parts = parse_shared_parts(headers.get(state.names.prompt_parts))
+    parts = headers.get(state.names.prompt_parts)
     if ctx.route.kind is RouteKind.STREAM:
-        ctx.prompt = parse_prompt(
-            headers.get(state.names.token_counts),
-            headers.get(state.names.prompt_parts),
-        )
+        ctx.prompt = parse_prompt(headers.get(state.names.token_counts), parts)
+    if ctx.prompt is not None:
+        ctx.shared_parts = tuple(part.id for part in ctx.prompt.shared)
+    else:
+        ctx.shared_parts = parse_shared_parts(parts)
     return None
 
 
