--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -186,6 +186,11 @@
         return Failure(Fault.AMBIGUOUS, "unsigned success status", head.status)
     if head.status in _SIGNED_STATUSES and not signed:
         return Failure(Fault.AMBIGUOUS, "unsigned not-run status", head.status)
+    if ctx.reply.started and not streams.continues_stream(ctx, head):
+        # Only events may follow within a response that has begun.
+        return Failure(
+            Fault.AMBIGUOUS, "the response does not continue the stream", head.status
+        )
     if ctx.route.kind is RouteKind.STREAM and head.status == 200:
         instance = choice.instance
         return await streams.forward_stream(
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_context.py
@@ -25,6 +25,7 @@
         "is_trial",
         "last_event_id",
         "may_have_run",
+        "media_type",
         "origin",
         "partial_bytes",
         "last_byte_sent_at",
@@ -70,6 +71,8 @@
         self.framing = None
         self.partial_bytes = 0
         self.last_event_id = None
+        # The media type of the stream that has begun, "" if its head states none.
+        self.media_type = ""
         # The `stream_origins.StreamOrigin` of a stream that may only go on there.
         self.origin = None
         # Whether the last forwarded event had an id, so that the stream can be resumed.
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/replies.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/replies.py
@@ -17,8 +17,15 @@
     """The client has closed the connection."""
 
 
+class ResponseStarted(RuntimeError):
+    """A second response would follow within the one that has been started."""
+
+
 class Reply:
-    """Writes the response to one request; ``started`` is set by the first write."""
+    """Writes the response to one request; ``started`` is set by the first write.
+
+    A response that has been started can only go on with `write`, `end` and `cut`.
+    """
 
     def __init__(self, conn, request):
         self._conn = conn
@@ -47,7 +54,7 @@
         self._conn.on_disconnect = callback
 
     def send(self, status, headers, body, framing=Framing.LENGTH):
-        """Send a complete response.
+        """Send a complete response; raises `ResponseStarted` if one was started.
 
         Parameters
         ----------
@@ -55,7 +62,8 @@
             That of the upstream's response; a body that only the close of a connection
             ended is ended in the same way, as it may be incomplete.
         """
-        self.started = self.ended = True
+        self._mark_started()
+        self.ended = True
         lines = []
         if framing is Framing.CLOSE:
             self._end_by_close()
@@ -81,6 +89,8 @@
     ):
         """Start a response of unknown length; its head is sent with the first part.
 
+        Raises `ResponseStarted` if one was started.
+
         Parameters
         ----------
         request_id : str
@@ -92,8 +102,8 @@
             That of the upstream's response. The stream is sent in chunks, unless only
             the close of the connection marks its end.
         """
+        self._mark_started()
         self._conn.start_stream(request_id, deadline)
-        self.started = True
         lines = []
         if framing is Framing.CLOSE or not self._can_chunk:
             self._framing = Framing.CLOSE
@@ -149,6 +159,11 @@
         """Mark the connection to be closed after this response."""
         self._keep_alive = False
 
+    def _mark_started(self):
+        if self.started:
+            raise ResponseStarted("a response has been started on this connection")
+        self.started = True
+
     def _end_by_close(self):
         """Let the close of the connection mark the end of the response.
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
@@ -11,6 +11,7 @@
 # Part of the permitted delay of an event that is spent on coalescing writes; the rest
 # is left for the network and for a busy processor.
 _COALESCE_RATIO = 0.3
+_EVENT_STREAM = "text/event-stream"
 
 
 async def forward_stream(
@@ -59,6 +60,22 @@
             await state.sleep(coalesce_s)
 
 
+def continues_stream(ctx, head):
+    """Return whether a response may go on with a stream that has begun.
+
+    A response without a content type is accepted, as some upstreams state none.
+    """
+    if head.status != 200:
+        return False
+    media_type = _get_media_type(head)
+    return not media_type or media_type in (ctx.media_type, _EVENT_STREAM)
+
+
+def _get_media_type(head):
+    """Return the content type without its parameters, "" if there is none."""
+    return head.headers.get("content-type", "").partition(";")[0].strip().lower()
+
+
 async def _forward_blocks(ctx, head, blocks):
     new_blocks = [block for block in blocks if is_later(block.id, ctx.last_event_id)]
     if not new_blocks:
@@ -90,5 +107,6 @@
 def _start_stream(ctx, head):
     if not ctx.reply.started:
         ctx.response_status = head.status
+        ctx.media_type = _get_media_type(head)
         headers = list(head.headers.items())
         ctx.reply.start_stream(head.status, headers, ctx.id, ctx.deadline, head.framing)
--- a/packages/valeweir_gateway/tests/test_servers.py
+++ b/packages/valeweir_gateway/tests/test_servers.py
@@ -7,7 +7,7 @@
 
 from valeweir_gateway.admission.intake import IntakeQueue
 from valeweir_gateway.transport.limits import ClientLimits
-from valeweir_gateway.transport.replies import ClientDisconnected
+from valeweir_gateway.transport.replies import ClientDisconnected, ResponseStarted
 from valeweir_gateway.transport.servers import create_server, create_sync_handler
 
 
@@ -207,6 +207,8 @@
         if request.target == "/cut":
             reply.cut()
             return
+        if request.target == "/second":
+            reply.send(500, [], b"failed")
         await reply.write(b"two")
         reply.end()
 
@@ -225,6 +227,17 @@
         data = read_all(sock)
         self.assertTrue(data.endswith(b"3\r\none\r\n"))
 
+    def test_stream_holds_no_second_response(self):
+        self.server.handle = self.handle_with_cut
+        sock = self.connect()
+        sock.sendall(GET % b"second")
+        self.assertTrue(read_all(sock).endswith(b"3\r\none\r\n"))
+
+    async def handle_with_cut(self, request, reply):
+        with self.assertRaises(ResponseStarted):
+            await self.handle(request, reply)
+        reply.cut()
+
 
 class TestClientDisconnects(ServerCase):
     def setUp(self):
