--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/events.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/events.py
@@ -8,7 +8,10 @@
 from typing import NamedTuple
 
 _LINE_END = rb"(?:\r\n|\n|\r(?!\n))"
-_EVENT_END = re.compile(_LINE_END + _LINE_END)
+# Further empty lines belong to the same block.
+_EVENT_END = re.compile(_LINE_END + rb"{2,}")
+# An incomplete end of an event at the end of a buffer has at most this many bytes.
+_PARTIAL_END_BYTES = 2
 _ID_FIELD = re.compile(rb"(?:^|[\r\n])id(?::[ ]?([^\r\n]*)|(?=[\r\n]))")
 # A line that is neither empty nor a comment.
 _FIELD = re.compile(rb"(?:^|[\r\n])[^\r\n:]")
@@ -34,7 +37,9 @@
     """
 
     def __init__(self, is_continuation=False):
-        self._buffer = b""
+        self._buffer = bytearray()
+        # The part of the buffer before this position holds no end of an event.
+        self._searched_size = 0
         self._is_at_start = True
         self._is_continuation = is_continuation
 
@@ -57,15 +62,17 @@
         self._buffer += data
         blocks = []
         start = 0
-        for match in _EVENT_END.finditer(self._buffer):
-            blocks.append(self._make_block(self._buffer[start : match.end()]))
+        for match in _EVENT_END.finditer(self._buffer, self._searched_size):
+            blocks.append(self._make_block(bytes(self._buffer[start : match.end()])))
             start = match.end()
-        self._buffer = self._buffer[start:]
+        del self._buffer[:start]
+        self._searched_size = max(0, len(self._buffer) - _PARTIAL_END_BYTES)
         return blocks
 
     def take_rest(self):
         """Remove and return the bytes after the last event."""
-        rest, self._buffer = self._buffer, b""
+        rest = bytes(self._buffer)
+        self._buffer.clear()
         return rest
 
     def _make_block(self, data):
--- a/packages/valeweir_gateway/tests/test_events.py
+++ b/packages/valeweir_gateway/tests/test_events.py
@@ -1,7 +1,9 @@
 import unittest
+from unittest import mock
 
 from hypothesis import given
 from hypothesis import strategies as st
+from valeweir_gateway.transport import events
 from valeweir_gateway.transport.events import EventSplitter, is_later
 
 STREAM = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n"
@@ -77,6 +79,30 @@
         self.assertFalse(block.is_event)
 
 
+class TestSearchedBytes(unittest.TestCase):
+    """Guards against a search of the buffer from its start with each read.
+
+    The event loop stood still while an upstream sent an event without its end.
+    """
+
+    def test_each_byte_is_searched_a_bounded_number_of_times(self):
+        pattern = events._EVENT_END
+        searched = []
+
+        def finditer(data, start=0):
+            searched.append(len(data) - start)
+            return pattern.finditer(data, start)
+
+        with mock.patch.object(events, "_EVENT_END", mock.Mock(finditer=finditer)):
+            splitter = EventSplitter()
+            splitter.feed(b"data: ")
+            for _ in range(1_000):
+                splitter.feed(b"x" * 100)
+            blocks = splitter.feed(b"\n\n")
+        self.assertEqual(len(blocks[0].data), 100_008)
+        self.assertLess(sum(searched), 2 * 100_008)
+
+
 class TestIsLater(unittest.TestCase):
     def test_event_ids(self):
         cases = [
