--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -226,8 +226,7 @@
 
 async def _read_rejection(exchange, head):
     # The connection can only be reused once the whole response is read.
-    body = await exchange.read_body()
-    if isinstance(body, Failure):
+    if await exchange.discard_body() is not None:
         exchange.close()
     return Failure(Fault.REJECTED, f"rejected with status {head.status}", head.status)
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_records.py
@@ -146,6 +146,8 @@
     state.metrics.send_failures.labels(failure.fault.value).inc()
     if failure.broke_off:
         _count_end(state, ctx, "broken")
+    if failure.bound is not None:
+        state.metrics.responses_too_large.labels(failure.bound.value).inc()
     if failure.status == MISDIRECTED_STATUS:
         state.loads.mark_replaced(instance_id, now)
         state.connections.drop(instance_id)
@@ -166,6 +168,7 @@
         why=failure.text,
         status=failure.status,
         broke_off=failure.broke_off,
+        **({"bound": failure.bound.value} if failure.bound else {}),
         **_describe_end(ctx),
         **_describe_progress(ctx, work),
         **_describe_resumption(state, ctx),
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -38,6 +38,11 @@
             "Ends of responses of upstreams, by framing and whether the end was whole",
             "framing end",
         )
+        self.responses_too_large = self._counter(
+            "responses_too_large",
+            "Responses of upstreams that exceeded a bound on their size, by bound",
+            "bound",
+        )
         self.malformed = self._counter(
             "requests_malformed",
             "Malformed requests and failed accepts, by code",
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/events.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/events.py
@@ -12,6 +12,8 @@
 _EVENT_END = re.compile(_LINE_END + rb"{2,}")
 # An incomplete end of an event at the end of a buffer has at most this many bytes.
 _PARTIAL_END_BYTES = 2
+# Limits an event together with the comments and empty lines before it.
+MAX_EVENT_BYTES = 1 << 20
 _ID_FIELD = re.compile(rb"(?:^|[\r\n])id(?::[ ]?([^\r\n]*)|(?=[\r\n]))")
 # A line that is neither empty nor a comment.
 _FIELD = re.compile(rb"(?:^|[\r\n])[^\r\n:]")
@@ -40,6 +42,7 @@
         self._buffer = bytearray()
         # The part of the buffer before this position holds no end of an event.
         self._searched_size = 0
+        self._eventless_size = 0
         self._is_at_start = True
         self._is_continuation = is_continuation
 
@@ -57,9 +60,20 @@
         """Return how many bytes of an incomplete event are buffered."""
         return len(self._buffer) if self.has_partial_event else 0
 
+    @property
+    def size(self):
+        """Return how many bytes are buffered."""
+        return len(self._buffer)
+
+    @property
+    def exceeds_bound(self):
+        """Return whether an event or what precedes it has over `MAX_EVENT_BYTES`."""
+        return self._eventless_size > MAX_EVENT_BYTES
+
     def feed(self, data):
         """Add received bytes; return the events that are now complete."""
         self._buffer += data
+        self._eventless_size += len(data)
         blocks = []
         start = 0
         for match in _EVENT_END.finditer(self._buffer, self._searched_size):
@@ -67,6 +81,8 @@
             start = match.end()
         del self._buffer[:start]
         self._searched_size = max(0, len(self._buffer) - _PARTIAL_END_BYTES)
+        if any(block.is_event for block in blocks):
+            self._eventless_size = len(self._buffer)
         return blocks
 
     def take_rest(self):
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/responses.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/responses.py
@@ -1,13 +1,15 @@
 """Strict parser for the HTTP responses of upstreams."""
 
 import collections
+from enum import StrEnum
 from typing import NamedTuple
 
 import httptools
 
 from .framing import Framing
 
-# Limits the status line and the headers together, as the previous parser did.
+# Limits a head with all informational ones before it, and then what is received between
+# two parts of a body: sizes and extensions of chunks, and trailers.
 _MAX_HEAD_BYTES = 64 << 10
 _CHUNKED = "chunked"
 _BODILESS_STATUSES = frozenset((204, 304))
@@ -33,11 +35,26 @@
     """End of a complete response."""
 
 
+class Bound(StrEnum):
+    """Which bound on its size a response exceeds.
+
+    ``HEAD``: the status line and headers. ``FRAMING``: what encodes a body in chunks.
+    ``BODY``: the body. ``EVENT``: one event of a stream, with the comments and empty
+    lines before it.
+    """
+
+    HEAD = "head"
+    FRAMING = "framing"
+    BODY = "body"
+    EVENT = "event"
+
+
 class ResponseParser:
     """Parses the bytes of one connection into the events of one response.
 
-    ``fault`` describes the parse error and is "" if there is none; ``broke_off`` is
-    true if the connection was closed before the response was complete. Bytes after
+    ``fault`` describes the parse error and is "" if there is none, ``bound`` is the
+    `Bound` that the response exceeds or None, and ``broke_off`` is true if the
+    connection was closed before the response was complete. Bytes after
     the end of the response are ignored because they belong to no request;
     ``is_reusable`` is false if there were any, and the connection cannot be reused.
     """
@@ -46,7 +63,8 @@
         self._parser = httptools.HttpResponseParser(self)
         self._events = collections.deque()
         self._headers = {}
-        self._head_size = 0
+        # Bytes received since the start or the last part of the body.
+        self._bodiless_size = 0
         self._is_head_request = False
         self._has_head = False
         self._framing = None
@@ -54,6 +72,7 @@
         self._has_extra_bytes = False
         self._keep_alive = False
         self.fault = ""
+        self.bound = None
         self.broke_off = False
 
     def expect(self, method):
@@ -91,20 +110,25 @@
         if not data:
             self._on_connection_closed()
             return
-        self._check_head_size(len(data))
+        self._bodiless_size += len(data)
+        if not self._has_head:
+            self._check_bodiless_size(Bound.HEAD)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self._set_fault("the response switches protocols")
         except httptools.HttpParserError as exc:
             self._set_fault(str(exc))
+        if self._has_head:
+            self._check_bodiless_size(Bound.FRAMING)
 
     def on_message_begin(self):  # noqa: D102  (httptools calls these names)
         if self._is_complete:
             self._has_extra_bytes = True
 
     def on_header(self, name, value):  # noqa: D102
-        if not self._is_complete:
+        # Those after the head are trailers, which are not forwarded.
+        if not self._has_head:
             text = (value or b"").strip(b" \t").decode("latin-1")
             self._headers[name.decode("latin-1").lower()] = text
 
@@ -115,6 +139,7 @@
         if status < _MIN_FINAL_STATUS:
             return
         self._has_head = True
+        self._bodiless_size = 0
         encoding = self._headers.get("transfer-encoding")
         if encoding is not None and encoding.lower() != _CHUNKED:
             self._set_fault(f"unsupported Transfer-Encoding: {encoding}")
@@ -127,6 +152,7 @@
 
     def on_body(self, part):  # noqa: D102
         if not self._is_complete:
+            self._bodiless_size = 0
             self._events.append(Data(part))
 
     def on_message_complete(self):  # noqa: D102
@@ -157,11 +183,10 @@
         self.broke_off = True
         self._set_fault("the connection was closed before the response was complete")
 
-    def _check_head_size(self, size):
-        if not self._has_head:
-            self._head_size += size
-            if self._head_size > _MAX_HEAD_BYTES:
-                self._set_fault("the response head is too large")
+    def _check_bodiless_size(self, bound):
+        if self._bodiless_size > _MAX_HEAD_BYTES and not self._is_complete:
+            self.bound = bound
+            self._set_fault(f"the {bound} of the response is too large")
 
     def _finish(self, keep_alive):
         self._is_complete = True
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
@@ -3,7 +3,7 @@
 from ..quarantine.part_answers import PROOF_S
 from ..transport.events import EventSplitter, is_later
 from ..transport.replies import ClientDisconnected
-from ..transport.responses import Data, End
+from ..transport.responses import Bound, Data, End
 from .exchanges import Failure, Fault
 from .response_ends import check_end, is_end_confirmed
 from .stream_pace import StreamPace
@@ -54,7 +54,10 @@
         if blocks:
             work.pace.observe(len(blocks), state.clock())
         failure = await _forward_blocks(ctx, head, blocks)
+        if failure is None and splitter.exceeds_bound:
+            failure = exchange.exceed(Bound.EVENT)
         if failure is not None:
+            ctx.partial_bytes = splitter.partial_size
             return failure
         if blocks and not exchange.is_over:
             await state.sleep(coalesce_s)
