--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -61,6 +61,7 @@
         ),
         state.names.request_id,
         lambda head: observe_head(state, ctx, instance, head),
+        state.read_turns,
     )
     if ctx.sends == 0:
         ctx.first_sent = now
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -34,6 +34,7 @@
 from .quarantine.records import Quarantine
 from .stores import Position
 from .transport.headers import HeaderNames, get_replaced_headers, get_reserved_headers
+from .transport.read_turns import ReadTurns
 from .upstreams.connections import Connections
 from .upstreams.stream_origins import StreamOrigins, VersionHistory
 from .upstreams.upstream_exits import UpstreamExits
@@ -135,6 +136,7 @@
         self.refusing = False
         self.stop_deadline = 0.0
         self.write_buffers = create_write_buffers(self)
+        self.read_turns = ReadTurns()
         self._inflight = 0
         self._lock = threading.Lock()
         self.reserved_headers = get_reserved_headers(names)
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
@@ -1,20 +1,27 @@
 """One request to an upstream instance and the strict parsing of its response.
 
 The socket is read only when data is expected. A wait for data also ends when the client
-disconnects or the deadline passes.
+disconnects or the deadline passes. An upstream that sends without a pause takes turns
+with the other tasks of the event loop.
 """
 
+import asyncio
 from enum import StrEnum
 from typing import NamedTuple
 
 from ..transport.headers import HOP_BY_HOP_HEADERS
+from ..transport.read_turns import ReadTurns
 from ..transport.responses import Bound, End, Head, ResponseParser
 from ..transport.socket_waits import WaitResult, wait_for_socket
 from ..transport.sockets import is_readable
 
 # Sent by a different upstream that now listens at the address.
 MISDIRECTED_STATUS = 421
-_READ_SIZE_BYTES = 64 << 10
+# Parsing may take microseconds a byte, so that this much is a short turn of the event
+# loop.
+_READ_SIZE_BYTES = 16 << 10
+# Time to read what had arrived before the deadline, if this process was paused.
+_OVERDUE_READ_S = 0.25
 # The body of a rejection is discarded.
 _MAX_REJECTION_BYTES = 64 << 10
 _MAX_RESPONSE_BYTES = 64 << 20
@@ -80,18 +87,33 @@
         Called with ``(sock, lifetime)`` when the connection may be reused.
     on_head : callable
         Called with each `Head` as received, even if the response is then rejected.
+    turns : ReadTurns
+        Shared by all exchanges of the process.
     """
 
-    def __init__(self, sock, client, keep, id_header, on_head=lambda head: None):
+    def __init__(
+        self,
+        sock,
+        client,
+        keep,
+        id_header,
+        on_head=lambda head: None,
+        turns=None,
+    ):
         sock.setblocking(False)
         self._sock = sock
         self._client = client
         self._keep = keep
         self._id_header = id_header.lower()
         self._on_head = on_head
+        self._turns = turns or ReadTurns()
         self._parser = ResponseParser()
         self._reusable = True
         self._call = None
+        # Bytes received since the exchange last waited or let other tasks run.
+        self._turn_bytes = 0
+        # When the exchange first read after its deadline, None before that.
+        self._overdue_since = None
         # Whether any byte of a response has been received.
         self.has_received_bytes = False
 
@@ -187,9 +209,13 @@
 
     async def _receive(self, deadline):
         while True:
+            failure = await self._check_turn(deadline)
+            if failure is not None:
+                return failure
             try:
                 data = self._sock.recv(_READ_SIZE_BYTES)
             except BlockingIOError:
+                self._turn_bytes = 0
                 failure = await self._wait(deadline)
                 if failure is not None:
                     return failure
@@ -199,21 +225,51 @@
                     Fault.AMBIGUOUS, f"receiving failed: {exc}", broke_off=True
                 )
             self.has_received_bytes = True
+            self._turn_bytes += len(data)
             self._parser.feed(data)
             return None
 
+    async def _check_turn(self, deadline):
+        """Let other tasks run after each turn; return None or a `Failure`.
+
+        Without a wait, neither the deadline nor the client's disconnection would end
+        the exchange. What had arrived before the deadline is still read.
+        """
+        if self._turn_bytes >= _READ_SIZE_BYTES:
+            self._turn_bytes = 0
+            await self._turns.wait()
+        if self._client.is_disconnected:
+            return self._fail_wait(WaitResult.GONE, 0.0)
+        until = self._get_end(deadline)
+        now = asyncio.get_running_loop().time()
+        if now < until:
+            return None
+        if self._overdue_since is None:
+            self._overdue_since = now
+        if now - self._overdue_since >= _OVERDUE_READ_S:
+            return self._fail_wait(WaitResult.TIMED_OUT, until)
+        return None
+
     async def _wait(self, deadline, writing=False):
         """Wait until the socket is ready, the client disconnects or time runs out."""
-        end = self._call.deadline
-        until = end if deadline is None else min(end, deadline)
+        until = self._get_end(deadline)
         result = await wait_for_socket(
             self._sock, until, self._client, reading=True, writing=writing
         )
         if result is WaitResult.READY:
             return None
+        return self._fail_wait(result, until)
+
+    def _get_end(self, deadline):
+        """Return when a wait ends, the earlier of the two deadlines."""
+        end = self._call.deadline
+        return end if deadline is None else min(end, deadline)
+
+    def _fail_wait(self, result, until):
+        """Return the `Failure` after a wait that ended without its object ready."""
         if result is WaitResult.GONE:
             return self._fail(Fault.GONE, "client disconnected")
-        if until < end:
+        if until < self._call.deadline:
             return self._fail(Fault.SLOW, "attempt timed out")
         return self._fail(Fault.LATE, "request deadline passed")
 
