--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -10,6 +10,8 @@
     on_request_answered,
 )
 from ..quarantine.part_answers import Answer
+from ..transport.body_memory import SMALL_BODY_BYTES
+from ..transport.replies import ClientDisconnected
 from ..transport.responses import Head
 from ..upstreams import streams
 from ..upstreams.connections import MAX_IDLE_S, connect
@@ -61,7 +63,7 @@
         ),
         state.names.request_id,
         lambda head: observe_head(state, ctx, instance, head),
-        state.read_turns,
+        state.read_limits,
     )
     if ctx.sends == 0:
         ctx.first_sent = now
@@ -214,8 +216,7 @@
     is_retry_useful = _is_retry_useful(state, ctx, choice.instance)
     if head.status >= _MIN_SERVER_ERROR_STATUS and is_retry_useful:
         return Failure(Fault.AMBIGUOUS, "server error", head.status)
-    _send_response(ctx, head, body)
-    return None
+    return await _send_response(ctx, head, body)
 
 
 def _observe_response(state, choice, work):
@@ -271,6 +272,18 @@
     )
 
 
-def _send_response(ctx, head, body):
+async def _send_response(ctx, head, body):
+    """Send a complete response; return None or a `Failure`."""
     ctx.response_status = head.status
-    ctx.reply.send(head.status, head.headers.items(), body, head.framing)
+    headers = head.headers.items()
+    if body.size <= SMALL_BODY_BYTES:
+        ctx.reply.send(head.status, headers, body.join(), head.framing)
+        return None
+    try:
+        ctx.reply.start_body(head.status, headers, body.size, head.framing)
+        for part in body.take_parts():
+            await ctx.reply.write(part)
+    except ClientDisconnected:
+        return Failure(Fault.GONE, "client disconnected")
+    ctx.reply.end()
+    return None
--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/slow_clients.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/slow_clients.py
@@ -7,7 +7,8 @@
     """Return the `WriteBuffers` of the connections of a gateway's clients."""
 
     def get_bounds():
-        return state.cfg.compute_buffer_bounds(state.inflight)
+        body_bytes = state.read_limits.bodies.total
+        return state.cfg.compute_buffer_bounds(state.inflight, body_bytes)
 
     def on_bound_reached(request_id, bound, size):
         state.metrics.buffer_bounds.labels(bound.value).inc()
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -8,6 +8,7 @@
 
 from .fleet.members import MESH_LIMIT
 from .transport.write_buffers import BufferBounds
+from .upstreams.exchanges import MAX_RESPONSE_BYTES
 
 # Memory of an idle gateway, and of each active request.
 _BASE_MEMORY_MB = 80.0
@@ -15,6 +16,9 @@
 # Part of the memory not used by active requests that may hold unsent bytes of streams.
 # The rest is left for request bodies and complete responses, which vary in size.
 _BUFFER_RATIO = 0.5
+# Parts of that memory for the incomplete bodies of responses, and for a single body.
+_BODIES_RATIO = 0.2
+_MAX_BODY_RATIO = 1 / 3
 # A stream may hold this part of the bytes for all streams, within these limits. The
 # lower one is the size of one read from its upstream.
 _STREAM_BUFFER_RATIO = 0.01
@@ -204,23 +208,40 @@
         """Return the maximum number of active requests."""
         return self.compute_max_inflight(0)
 
+    @property
+    def max_response_bytes(self):
+        """Return the maximum size of the body of one response in bytes."""
+        return int(min(MAX_RESPONSE_BYTES, self._free_bytes * _MAX_BODY_RATIO))
+
+    @property
+    def response_memory_bytes(self):
+        """Return how many bytes the incomplete bodies of responses may take."""
+        return int(self._free_bytes * _BODIES_RATIO)
+
+    @property
+    def _free_bytes(self):
+        free_mb = max(0.0, self.memory.limit_mb - _BASE_MEMORY_MB)
+        return free_mb * _BYTES_PER_MB
+
     def compute_max_inflight(self, buffered_bytes):
-        """Return the maximum number of active requests beside unsent response bytes."""
+        """Return the maximum number of active requests beside buffered bytes."""
         free_mb = self.memory.limit_mb - _BASE_MEMORY_MB
         by_memory = (free_mb - buffered_bytes / _BYTES_PER_MB) / _REQUEST_MEMORY_MB
         return int(min(_MAX_INFLIGHT_COUNT, max(_MIN_INFLIGHT_COUNT, by_memory)))
 
-    def compute_buffer_bounds(self, inflight):
-        """Return the `BufferBounds` for unsent bytes beside ``inflight`` requests."""
-        free_mb = max(0.0, self.memory.limit_mb - _BASE_MEMORY_MB)
-        left_mb = max(0.0, free_mb - inflight * _REQUEST_MEMORY_MB)
-        part = free_mb * _BYTES_PER_MB * _BUFFER_RATIO * _STREAM_BUFFER_RATIO
+    def compute_buffer_bounds(self, inflight, body_bytes=0):
+        """Return the `BufferBounds` for unsent bytes.
+
+        ``inflight`` is the number of active requests, ``body_bytes`` the size of the
+        buffered bodies of their responses.
+        """
+        request_bytes = inflight * _REQUEST_MEMORY_MB * _BYTES_PER_MB
+        left_bytes = max(0.0, self._free_bytes - request_bytes - body_bytes)
+        part = self._free_bytes * _BUFFER_RATIO * _STREAM_BUFFER_RATIO
         stream_bytes = min(
             _MAX_STREAM_BUFFER_BYTES, max(_MIN_STREAM_BUFFER_BYTES, part)
         )
-        return BufferBounds(
-            int(stream_bytes), int(left_mb * _BYTES_PER_MB * _BUFFER_RATIO)
-        )
+        return BufferBounds(int(stream_bytes), int(left_bytes * _BUFFER_RATIO))
 
 
 class SettingsFile:
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -34,8 +34,8 @@
 from .quarantine.records import Quarantine
 from .stores import Position
 from .transport.headers import HeaderNames, get_replaced_headers, get_reserved_headers
-from .transport.read_turns import ReadTurns
 from .upstreams.connections import Connections
+from .upstreams.exchanges import create_read_limits
 from .upstreams.stream_origins import StreamOrigins, VersionHistory
 from .upstreams.upstream_exits import UpstreamExits
 from .view.directory import Directory
@@ -136,7 +136,9 @@
         self.refusing = False
         self.stop_deadline = 0.0
         self.write_buffers = create_write_buffers(self)
-        self.read_turns = ReadTurns()
+        self.read_limits = create_read_limits(
+            cfg.max_response_bytes, lambda: self.cfg.response_memory_bytes
+        )
         self._inflight = 0
         self._lock = threading.Lock()
         self.reserved_headers = get_reserved_headers(names)
@@ -164,7 +166,8 @@
 
     def get_pressure(self):
         """Return the `pressure.PressureLevel` of this gateway."""
-        max_inflight = self.cfg.compute_max_inflight(self.write_buffers.total)
+        buffered_bytes = self.write_buffers.total + self.read_limits.bodies.total
+        max_inflight = self.cfg.compute_max_inflight(buffered_bytes)
         occupancy = get_occupancy_level(self._inflight, max_inflight)
         return max(self.pressure.level, occupancy)
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/replies.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/replies.py
@@ -112,6 +112,21 @@
             lines = [_CHUNKED_FRAMING]
         self._head = encode_head(status, headers, lines, self._keep_alive)
 
+    def start_body(self, status, headers, size, framing=Framing.LENGTH):
+        """Start a complete response of ``size`` bytes, which are then written in parts.
+
+        Raises `ResponseStarted` if a response was started. ``framing`` is as in `send`.
+        """
+        self._mark_started()
+        self._framing = framing
+        lines = []
+        if framing is Framing.CLOSE:
+            self._end_by_close()
+        else:
+            self._framing = Framing.LENGTH
+            lines = [f"Content-Length: {size}"]
+        self._head = encode_head(status, headers, lines, self._keep_alive)
+
     async def flush(self):
         """Wait until the write buffer is empty; raises `ClientDisconnected`."""
         if self._conn.is_write_paused:
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/socket_waits.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/socket_waits.py
@@ -1,11 +1,11 @@
-"""Waits for a socket on the event loop, with a deadline and client disconnects."""
+"""Waits on the event loop that end at a deadline or when the client disconnects."""
 
 import asyncio
 from enum import Enum
 
 
 class WaitResult(Enum):
-    """Why a wait ended: socket ready, deadline passed or client disconnected."""
+    """Why a wait ended: its object ready, deadline passed or client disconnected."""
 
     READY = 1
     TIMED_OUT = 2
@@ -22,8 +22,6 @@
     client : object
         Has ``is_disconnected`` and ``watch``, such as `replies.Reply`.
     """
-    if client.is_disconnected:
-        return WaitResult.GONE
     loop = asyncio.get_running_loop()
     waiter = loop.create_future()
     fd = sock.fileno()
@@ -31,6 +29,20 @@
         loop.add_reader(fd, set_result_if_pending, waiter, WaitResult.READY)
     if writing:
         loop.add_writer(fd, set_result_if_pending, waiter, WaitResult.READY)
+    try:
+        return await wait_for_future(waiter, deadline, client)
+    finally:
+        if reading:
+            loop.remove_reader(fd)
+        if writing:
+            loop.remove_writer(fd)
+
+
+async def wait_for_future(waiter, deadline, client):
+    """Wait for a future; return its result, or the `WaitResult` that ended the wait."""
+    if client.is_disconnected:
+        return WaitResult.GONE
+    loop = asyncio.get_running_loop()
     timer = loop.call_at(deadline, set_result_if_pending, waiter, WaitResult.TIMED_OUT)
     client.watch(lambda: set_result_if_pending(waiter, WaitResult.GONE))
     try:
@@ -38,10 +50,6 @@
     finally:
         client.watch(None)
         timer.cancel()
-        if reading:
-            loop.remove_reader(fd)
-        if writing:
-            loop.remove_writer(fd)
 
 
 def set_result_if_pending(fut, result=None):
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
@@ -2,17 +2,20 @@
 
 The socket is read only when data is expected. A wait for data also ends when the client
 disconnects or the deadline passes. An upstream that sends without a pause takes turns
-with the other tasks of the event loop.
+with the other tasks of the event loop, and is left unread while the bodies of responses
+take too much memory.
 """
 
 import asyncio
+import math
 from enum import StrEnum
 from typing import NamedTuple
 
+from ..transport.body_memory import BodyMemory
 from ..transport.headers import HOP_BY_HOP_HEADERS
 from ..transport.read_turns import ReadTurns
 from ..transport.responses import Bound, End, Head, ResponseParser
-from ..transport.socket_waits import WaitResult, wait_for_socket
+from ..transport.socket_waits import WaitResult, wait_for_future, wait_for_socket
 from ..transport.sockets import is_readable
 
 # Sent by a different upstream that now listens at the address.
@@ -20,11 +23,13 @@
 # Parsing may take microseconds a byte, so that this much is a short turn of the event
 # loop.
 _READ_SIZE_BYTES = 16 << 10
+# Parts of a body are joined up to this size, as they may be as small as a byte.
+_BODY_PART_BYTES = 64 << 10
 # Time to read what had arrived before the deadline, if this process was paused.
 _OVERDUE_READ_S = 0.25
 # The body of a rejection is discarded.
 _MAX_REJECTION_BYTES = 64 << 10
-_MAX_RESPONSE_BYTES = 64 << 20
+MAX_RESPONSE_BYTES = 64 << 20
 
 
 class Fault(StrEnum):
@@ -73,6 +78,45 @@
     deadline: float
 
 
+class ReadLimits(NamedTuple):
+    """What the exchanges of a process share, so that none takes too much of it.
+
+    ``max_body_bytes`` bounds the body of one response, ``bodies`` those of all together
+    and ``turns`` the time for those that are read without a pause.
+    """
+
+    max_body_bytes: int
+    bodies: BodyMemory
+    turns: ReadTurns
+
+
+def create_read_limits(max_body_bytes=MAX_RESPONSE_BYTES, get_memory_bytes=None):
+    """Return the `ReadLimits` of a process; all bodies together have no default."""
+    bodies = BodyMemory(get_memory_bytes or (lambda: math.inf))
+    return ReadLimits(max_body_bytes, bodies, ReadTurns())
+
+
+class Body:
+    """A complete body in parts, whose memory is released as they are taken."""
+
+    def __init__(self, parts, holding):
+        self._parts = parts
+        self._holding = holding
+        self.size = sum(map(len, parts))
+
+    def join(self):
+        """Return the whole body as bytes."""
+        return b"".join(self._parts)
+
+    def take_parts(self):
+        """Remove and yield the parts; each is released after it has been used."""
+        self._parts.reverse()
+        while self._parts:
+            part = self._parts.pop()
+            yield part
+            self._holding.resize(self._holding.size - len(part))
+
+
 class Exchange:
     """A request and its response over one socket.
 
@@ -87,7 +131,7 @@
         Called with ``(sock, lifetime)`` when the connection may be reused.
     on_head : callable
         Called with each `Head` as received, even if the response is then rejected.
-    turns : ReadTurns
+    limits : ReadLimits
         Shared by all exchanges of the process.
     """
 
@@ -98,7 +142,7 @@
         keep,
         id_header,
         on_head=lambda head: None,
-        turns=None,
+        limits=None,
     ):
         sock.setblocking(False)
         self._sock = sock
@@ -106,7 +150,8 @@
         self._keep = keep
         self._id_header = id_header.lower()
         self._on_head = on_head
-        self._turns = turns or ReadTurns()
+        self._limits = limits or create_read_limits()
+        self._holding = self._limits.bodies.open()
         self._parser = ResponseParser()
         self._reusable = True
         self._call = None
@@ -151,19 +196,25 @@
         return self._parser.is_over
 
     async def read_body(self, deadline=None):
-        """Return the complete body as bytes, or a `Failure`."""
+        """Return the complete `Body`, or a `Failure`."""
         parts = []
-        size = 0
         while True:
             event = await self.read(deadline)
             if isinstance(event, End):
-                return b"".join(parts)
+                self._holding.complete()
+                return Body(parts, self._holding)
             if isinstance(event, Failure):
                 return event
-            parts.append(event.data)
-            size += len(event.data)
-            if size > _MAX_RESPONSE_BYTES:
+            if parts and len(parts[-1]) + len(event.data) <= _BODY_PART_BYTES:
+                parts[-1] += event.data
+            else:
+                parts.append(bytearray(event.data))
+            size = self._holding.size + len(event.data)
+            if size > self._limits.max_body_bytes:
                 return self.exceed(Bound.BODY)
+            failure = await self.hold(size, deadline)
+            if failure is not None:
+                return failure
 
     async def discard_body(self):
         """Read and discard the body; return None or a `Failure`."""
@@ -178,6 +229,23 @@
             if size > _MAX_REJECTION_BYTES:
                 return self.exceed(Bound.BODY)
 
+    async def hold(self, size, deadline=None):
+        """Record how many bytes of the body are buffered; wait while they are too many.
+
+        Returns None or a `Failure`.
+        """
+        self._holding.resize(size)
+        while not self._holding.may_grow:
+            until = self._get_end(deadline)
+            try:
+                waiter = self._holding.add_waiter()
+                result = await wait_for_future(waiter, until, self._client)
+            finally:
+                self._holding.remove_waiter()
+            if result is not WaitResult.READY:
+                return self._fail_wait(result, until)
+        return None
+
     def exceed(self, bound):
         """Abandon a response that exceeds a `Bound`; return a `Failure`."""
         return self._fail(
@@ -186,6 +254,7 @@
 
     def close(self):
         """Abandon the exchange by closing the connection to the upstream."""
+        self._holding.close()
         if self._sock is not None:
             self._sock.close()
             self._sock = None
@@ -237,7 +306,7 @@
         """
         if self._turn_bytes >= _READ_SIZE_BYTES:
             self._turn_bytes = 0
-            await self._turns.wait()
+            await self._limits.turns.wait()
         if self._client.is_disconnected:
             return self._fail_wait(WaitResult.GONE, 0.0)
         until = self._get_end(deadline)
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/streams.py
@@ -56,6 +56,8 @@
         failure = await _forward_blocks(ctx, head, blocks)
         if failure is None and splitter.exceeds_bound:
             failure = exchange.exceed(Bound.EVENT)
+        if failure is None:
+            failure = await exchange.hold(splitter.size)
         if failure is not None:
             ctx.partial_bytes = splitter.partial_size
             return failure
--- a/packages/valeweir_standins/src/valeweir_standins/procfs.py
+++ b/packages/valeweir_standins/src/valeweir_standins/procfs.py
@@ -16,3 +16,12 @@
 def get_memory_kb(pid):
     """Return the resident memory of a process in KiB."""
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * _PAGE_KB
+
+
+def get_peak_memory_kb(pid):
+    """Return the largest resident memory that a process has had, in KiB."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        name, _, value = line.partition(":")
+        if name == "VmHWM":
+            return int(value.split()[0])
+    raise ValueError(f"the peak memory of process {pid} is unknown")
