--- a/packages/valeweir_gateway/src/valeweir_gateway/placement/caches.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/placement/caches.py
@@ -15,6 +15,7 @@
 
 from ..adapters import CacheListRefused
 from ..digests import get_digest
+from ..transport.bounded_pools import MAX_PEER_RESPONSE_BYTES, create_pool_manager
 from ..upstreams.upstream_signals import add_backoff, parse_retry_after
 
 CACHES_PATH = "/fleet/caches"
@@ -200,7 +201,7 @@
     It uses the port of ``address``.
     """
     port = address.rpartition(":")[2]
-    pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+    pool = create_pool_manager(MAX_PEER_RESPONSE_BYTES, num_pools=1, maxsize=1)
 
     def fetch(host):
         pool.clear()
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/view_sync.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/view_sync.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from ..stores import Position
+from ..transport.bounded_pools import MAX_PEER_RESPONSE_BYTES, create_pool_manager
 from ..view_source import get_version
 from .topics import Batch, Entry, Listing
 
@@ -136,7 +137,9 @@
         self._port = port
         self._read_policy = read_policy
         self._behind_since = None
-        self._pool = urllib3.PoolManager(num_pools=1, maxsize=1, retries=False)
+        self._pool = create_pool_manager(
+            MAX_PEER_RESPONSE_BYTES, num_pools=1, maxsize=1
+        )
 
     def start(self, stopped):
         """Check in a separate thread."""
