--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/request_checks.py
@@ -17,6 +17,8 @@
 
 def check_request(state, ctx):
     """Fill in the context; return a `Refusal` if the request cannot be served."""
+    if state.finished:
+        return Refusal(503, "stopping", retry_after=_STOPPING_RETRY_AFTER_S)
     if ctx.catalog is None or not state.catalog_known:
         # Evacuated failure domains must be known before the first send.
         return Refusal(503, "not-ready", retry_after=_UNREADY_RETRY_AFTER_S)
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -43,6 +43,8 @@
 METRICS_PATH = "/metrics"
 _STOP_POLL_S = 0.05
 _LAST_REQUESTS_WAIT_S = 0.1
+# Longer than a turn of the event loop takes even if the processor is busy.
+_LOOP_TIMEOUT_S = 0.5
 # Part of the grace period that is left for writing the log and exiting, even if the
 # processor is busy.
 _GRACE_MARGIN_S = 0.6
@@ -158,7 +160,11 @@
         state.stop_deadline = end - _GRACE_MARGIN_S
         state.refusing = True
         self._wait(min(end, state.clock() + _LAST_REQUESTS_WAIT_S), lambda: False)
-        self._wait(end, lambda: state.inflight == 0)
+        self._wait(end, self._finish_serving)
+        if not state.finished:
+            self._run_on_loop(self._refuse_all)
+        # The last refusals.
+        self._wait(min(end, state.clock() + _LAST_REQUESTS_WAIT_S), self._is_idle)
         cut = state.inflight
         self.stopped.set()
         state.log.note("stopped", cut=cut)
@@ -231,6 +237,37 @@
         for server in servers:
             await server.wait_closed()
 
+    def _is_idle(self):
+        return self.state.inflight == 0
+
+    def _finish_serving(self):
+        """Refuse all further requests if none is active; return whether that is so.
+
+        Runs on the event loop, as a request may arrive between the check and the
+        refusal and would be forwarded without time for its response.
+        """
+        return self._run_on_loop(lambda: self._is_idle() and self._refuse_all())
+
+    def _refuse_all(self):
+        self.state.finished = True
+        self._client_server.close_idle()
+        return True
+
+    def _run_on_loop(self, function):
+        """Return what a function returns on the event loop, or None if that is late."""
+
+        async def call():
+            return function()
+
+        if not self._loop.is_running():
+            return None
+        fut = asyncio.run_coroutine_threadsafe(call(), self._loop)
+        try:
+            return fut.result(_LOOP_TIMEOUT_S)
+        except TimeoutError:
+            fut.cancel()
+            return None
+
     def _wait(self, deadline, is_done):
         while self.state.clock() < deadline and not is_done():
             time.sleep(_STOP_POLL_S)
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -134,6 +134,8 @@
         )
         self.stopping = False
         self.refusing = False
+        # Whether a planned stop has ended, after which nothing is forwarded.
+        self.finished = False
         self.stop_deadline = 0.0
         self.write_buffers = create_write_buffers(self)
         self.read_limits = create_read_limits(
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
@@ -88,6 +88,18 @@
 
     def close(self):
         """Stop listening and close every connection."""
+        self._stop_listening()
+        for conn in list(self._connections):
+            conn.close()
+
+    def close_idle(self):
+        """Stop listening and close the connections without a request."""
+        self._stop_listening()
+        for conn in list(self._connections):
+            if conn.is_idle:
+                conn.close()
+
+    def _stop_listening(self):
         if self._sock is not None:
             self.loop.remove_reader(self._sock)
             self._sock.close()
@@ -95,8 +107,6 @@
         if self._resume_timer is not None:
             # The timer would register the closed socket with the event loop.
             self._resume_timer.cancel()
-        for conn in list(self._connections):
-            conn.close()
 
     async def wait_closed(self):
         """Wait until every connection's task has ended; call `close` first.
