--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/response_ends.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/response_ends.py
@@ -13,14 +13,14 @@
     """Return None if the response may be complete, or the `Failure` of a broken one.
 
     The end of a response that only the close of its connection marks is checked against
-    the state of its upstream: one that has exited although it still accepted requests
-    has broken the response off.
+    the state of its upstream: one that has exited before it could end as planned has
+    broken the response off.
     """
     if ctx.partial_bytes:
         # The framing may have ended well and the connection been kept.
         state.connections.drop(instance.id)
         return _fail("the stream ended inside an event")
-    if is_end_confirmed(ctx) or not state.directory.is_ready(instance.id):
+    if is_end_confirmed(ctx) or _may_have_ended_as_planned(state, instance):
         return None
     if await state.upstream_exits.has_exited(instance, work.sent):
         return _fail("the upstream exited at the end of a response without a length")
@@ -37,5 +37,21 @@
     return is_end_confirmed(ctx) or state.directory.is_ready(instance.id)
 
 
+def _may_have_ended_as_planned(state, instance):
+    """Return whether the exit of an upstream may be a planned one.
+
+    An upstream that leaves first records it, and then serves on for as long as others
+    may take to learn of it.
+    """
+    known = state.directory.by_id.get(instance.id)
+    if known is None:
+        return True
+    if known.ready:
+        return False
+    position = state.directory.get_record_position(instance.id)
+    left_s = state.clock() - position.at
+    return left_s >= state.cfg.upstreams.leave_within_ms / 1000.0
+
+
 def _fail(text):
     return Failure(Fault.AMBIGUOUS, text, broke_off=True)
