--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/slow_clients.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/slow_clients.py
@@ -7,8 +7,7 @@
     """Return the `WriteBuffers` of the connections of a gateway's clients."""
 
     def get_bounds():
-        body_bytes = state.read_limits.bodies.total
-        return state.cfg.compute_buffer_bounds(state.inflight, body_bytes)
+        return state.cfg.compute_buffer_bounds(state.inflight, state.body_bytes)
 
     def on_bound_reached(request_id, bound, size):
         state.metrics.buffer_bounds.labels(bound.value).inc()
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -318,6 +318,8 @@
         if state.catalog:
             gauges.declared.set(state.catalog.limits.tokens_per_second)
         gauges.buffered_bytes.set(state.write_buffers.total)
+        gauges.body_bytes.labels("request").set(state.request_memory.total)
+        gauges.body_bytes.labels("response").set(state.read_limits.bodies.total)
         gauges.waiting_body_bytes.set(state.loads.waiting_body_bytes)
         gauges.left_out.set(state.log.left_out)
         gauges.bad_records.set(state.bad_records)
@@ -342,6 +344,7 @@
         prepare_socket=prepare_socket,
         write_buffers=state.write_buffers,
         get_limits=lambda: get_client_limits(state),
+        request_memory=state.request_memory,
     )
     clients.max_connections = cfg.descriptors.max_clients
     ready = create_server(
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -178,6 +178,9 @@
         self.buffered_bytes = self._gauge(
             "response_buffer_bytes", "Unsent response bytes of slow clients"
         )
+        self.body_bytes = self._gauge(
+            "body_bytes", "Bytes of buffered message bodies, by kind of message", "kind"
+        )
         self.waiting_body_bytes = self._gauge(
             "waiting_body_bytes",
             "Bytes of request bodies at upstreams without a response head",
--- a/packages/valeweir_gateway/src/valeweir_gateway/settings.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/settings.py
@@ -16,9 +16,11 @@
 # Part of the memory not used by active requests that may hold unsent bytes of streams.
 # The rest is left for request bodies and complete responses, which vary in size.
 _BUFFER_RATIO = 0.5
-# Parts of that memory for the incomplete bodies of responses, and for a single body.
-_BODIES_RATIO = 0.2
-_MAX_BODY_RATIO = 1 / 3
+# Parts of that memory for the bodies of requests, for the incomplete ones of responses
+# beside them, and for that of a single response.
+_REQUEST_BODIES_RATIO = 0.6
+_RESPONSE_BODIES_RATIO = 0.2
+_MAX_RESPONSE_RATIO = 1 / 3
 # A stream may hold this part of the bytes for all streams, within these limits. The
 # lower one is the size of one read from its upstream.
 _STREAM_BUFFER_RATIO = 0.01
@@ -211,12 +213,20 @@
     @property
     def max_response_bytes(self):
         """Return the maximum size of the body of one response in bytes."""
-        return int(min(MAX_RESPONSE_BYTES, self._free_bytes * _MAX_BODY_RATIO))
+        return int(min(MAX_RESPONSE_BYTES, self._free_bytes * _MAX_RESPONSE_RATIO))
 
     @property
-    def response_memory_bytes(self):
-        """Return how many bytes the incomplete bodies of responses may take."""
-        return int(self._free_bytes * _BODIES_RATIO)
+    def request_memory_bytes(self):
+        """Return how many bytes the bodies of requests may take."""
+        return int(self._free_bytes * _REQUEST_BODIES_RATIO)
+
+    def compute_response_memory(self, request_bytes):
+        """Return how many bytes the incomplete bodies of responses may take.
+
+        ``request_bytes`` is the size of the bodies of requests.
+        """
+        left_bytes = max(0.0, self._free_bytes - request_bytes)
+        return int(left_bytes * _RESPONSE_BODIES_RATIO)
 
     @property
     def _free_bytes(self):
@@ -232,8 +242,8 @@
     def compute_buffer_bounds(self, inflight, body_bytes=0):
         """Return the `BufferBounds` for unsent bytes.
 
-        ``inflight`` is the number of active requests, ``body_bytes`` the size of the
-        buffered bodies of their responses.
+        ``inflight`` is the number of active requests, ``body_bytes`` the size of their
+        buffered bodies and of those of their responses.
         """
         request_bytes = inflight * _REQUEST_MEMORY_MB * _BYTES_PER_MB
         left_bytes = max(0.0, self._free_bytes - request_bytes - body_bytes)
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -33,6 +33,7 @@
 from .quarantine.part_answers import PartAnswers, PendingAnswers
 from .quarantine.records import Quarantine
 from .stores import Position
+from .transport.body_memory import BodyMemory
 from .transport.headers import HeaderNames, get_replaced_headers, get_reserved_headers
 from .upstreams.connections import Connections
 from .upstreams.exchanges import create_read_limits
@@ -138,8 +139,10 @@
         self.finished = False
         self.stop_deadline = 0.0
         self.write_buffers = create_write_buffers(self)
+        self.request_memory = BodyMemory(lambda: self.cfg.request_memory_bytes)
         self.read_limits = create_read_limits(
-            cfg.max_response_bytes, lambda: self.cfg.response_memory_bytes
+            cfg.max_response_bytes,
+            lambda: self.cfg.compute_response_memory(self.request_memory.total),
         )
         self._inflight = 0
         self._lock = threading.Lock()
@@ -166,9 +169,14 @@
             self.quarantine_position,
         )
 
+    @property
+    def body_bytes(self):
+        """Return the size of the buffered bodies of requests and responses."""
+        return self.request_memory.total + self.read_limits.bodies.total
+
     def get_pressure(self):
         """Return the `pressure.PressureLevel` of this gateway."""
-        buffered_bytes = self.write_buffers.total + self.read_limits.bodies.total
+        buffered_bytes = self.write_buffers.total + self.body_bytes
         max_inflight = self.cfg.compute_max_inflight(buffered_bytes)
         occupancy = get_occupancy_level(self._inflight, max_inflight)
         return max(self.pressure.level, occupancy)
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/body_memory.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/body_memory.py
@@ -2,13 +2,14 @@
 
 A small body is buffered without waiting, as each active request is expected to take
 that much memory. The receiver of a larger one stops reading while all bodies together
-exceed the limit. One of those that have to wait is granted the memory that it needs, so
-that incomplete bodies never wait for each other. Used on the event loop only.
+exceed the limit, or would with it if its size is known. One of those that have to wait
+is granted the memory that it needs, so that incomplete bodies never wait for each
+other. Used on the event loop only.
 """
 
 import asyncio
 
-from .socket_waits import WaitResult, set_result_if_pending
+from .socket_waits import WaitResult
 
 # A body within this size never waits.
 SMALL_BODY_BYTES = 64 << 10
@@ -36,12 +37,12 @@
         """Return a `BodyHolding` for a new body."""
         return BodyHolding(self)
 
-    def may_grow(self, holding):
-        """Return whether the receiver of a body may go on reading."""
-        if holding.size <= SMALL_BODY_BYTES or holding is self._granted:
+    def may_hold(self, holding, size):
+        """Return whether the receiver of a body may buffer ``size`` bytes of it."""
+        if size <= SMALL_BODY_BYTES or holding is self._granted:
             return True
         limit = self._get_limit()
-        if self.total <= limit:
+        if self.total - holding.size + size <= limit:
             return True
         # Complete bodies wait for slow clients, which must not add up without a bound.
         if self._granted is None and self.complete_bytes <= limit:
@@ -49,10 +50,10 @@
             return True
         return False
 
-    def add_waiter(self, holding):
-        """Return a future that is done when the receiver of a body may go on."""
+    def add_waiter(self, holding, size):
+        """Return a future that is done when a body has ``size`` bytes reserved."""
         waiter = asyncio.get_running_loop().create_future()
-        self._waiters[holding] = waiter
+        self._waiters[holding] = (waiter, size)
         return waiter
 
     def remove_waiter(self, holding):
@@ -69,23 +70,18 @@
             self._wake_waiters()
 
     def _wake_waiters(self):
-        """Let waiting bodies go on, in the order in which they began to wait.
-
-        Each of them may read once before it asks again.
-        """
-        free_bytes = self._get_limit() - self.total
-        for holding, waiter in list(self._waiters.items()):
-            if not self.may_grow(holding):
-                return
-            if holding is not self._granted:
-                free_bytes -= SMALL_BODY_BYTES
-            set_result_if_pending(waiter, WaitResult.READY)
-            if free_bytes <= 0:
+        """Let waiting bodies go on, in the order in which they began to wait."""
+        for holding, (waiter, size) in list(self._waiters.items()):
+            if waiter.done():
+                continue
+            if not self.may_hold(holding, size):
                 return
+            holding.resize(size)
+            waiter.set_result(WaitResult.READY)
 
 
 class BodyHolding:
-    """The memory of one body; ``size`` is in bytes."""
+    """The memory of one body; ``size`` is what it holds or has reserved, in bytes."""
 
     __slots__ = ("_is_complete", "_memory", "size")
 
@@ -97,7 +93,14 @@
     @property
     def may_grow(self):
         """Return whether the receiver of the body may go on reading."""
-        return self._memory.may_grow(self)
+        return self._memory.may_hold(self, self.size)
+
+    def reserve(self, size):
+        """Reserve memory for ``size`` bytes; return whether there is enough."""
+        may_hold = self._memory.may_hold(self, size)
+        if may_hold:
+            self.resize(size)
+        return may_hold
 
     def resize(self, size):
         """Record how many bytes of the body are buffered now."""
@@ -116,9 +119,9 @@
         """Release the memory of the body."""
         self.resize(0)
 
-    def add_waiter(self):
-        """Return a future that is done when the receiver of the body may go on."""
-        return self._memory.add_waiter(self)
+    def add_waiter(self, size):
+        """Return a future that is done when ``size`` bytes are reserved."""
+        return self._memory.add_waiter(self, size)
 
     def remove_waiter(self):
         """Stop waiting."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -11,6 +11,7 @@
 import msgspec
 from valeweir.models import OUTCOME_HEADER, Outcome
 
+from .body_memory import SMALL_BODY_BYTES
 from .replies import ClientDisconnected, Reply, encode_head
 from .requests import BadRequest, RequestParser
 from .socket_waits import set_result_if_pending
@@ -24,6 +25,10 @@
 
 # Limits the complete requests of one connection that wait for an earlier one.
 _MAX_PIPELINED_REQUEST_COUNT = 8
+# A client waits at most this long for the memory that its request body needs, and is
+# then told to return.
+_MAX_MEMORY_WAIT_S = 2.0
+_MEMORY_RETRY_AFTER_S = 0.5
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -43,7 +48,11 @@
         self._parser = RequestParser(
             server.get_limits, self._add_request, self._send_continue
         )
+        # Pairs of a complete request and the `BodyHolding` of its body.
         self._requests = collections.deque()
+        # Of the body that is being received, and since when it waits for memory.
+        self._holding = server.request_memory.open()
+        self._waits_since = None
         self._fault = None
         self._request_waiter = None
         self._drain_waiter = None
@@ -74,6 +83,7 @@
             self._parser.feed(data)
         except BadRequest as exc:
             self._set_fault(exc)
+        self._hold_body()
         if len(self._requests) >= _MAX_PIPELINED_REQUEST_COUNT:
             self._transport.pause_reading()
 
@@ -84,6 +94,9 @@
     def connection_lost(self, exc):  # noqa: D102
         self._mark_disconnected()
         self._count_buffer(0)
+        self._holding.remove_waiter()
+        for holding in (self._holding, *(row[1] for row in self._requests)):
+            holding.close()
         self._server.remove(self)
 
     def pause_writing(self):  # noqa: D102
@@ -177,9 +190,14 @@
                 self._request_waiter = self._server.loop.create_future()
                 await self._request_waiter
                 continue
-            request = self._requests.popleft()
-            self._transport.resume_reading()
-            if not await self._serve_request(request):
+            request, holding = self._requests.popleft()
+            if self._waits_since is None:
+                self._transport.resume_reading()
+            try:
+                stays_open = await self._serve_request(request)
+            finally:
+                holding.close()
+            if not stays_open:
                 self.close()
                 return
 
@@ -209,6 +227,16 @@
             self._check_stream(now)
         if self._is_serving or self._requests or self._fault is not None:
             return
+        if self._waits_since is not None:
+            if now - self._waits_since > _MAX_MEMORY_WAIT_S:
+                self._set_fault(
+                    BadRequest(
+                        503,
+                        "the memory for request bodies is in use",
+                        retry_after=_MEMORY_RETRY_AFTER_S,
+                    )
+                )
+            return
         idle_time = now - self.last_activity
         if self._parser.is_reading and not self._parser.is_in_body:
             if idle_time > self._server.get_limits().header_timeout:
@@ -268,9 +296,31 @@
         self._wake_serve()
 
     def _add_request(self, request):
-        self._requests.append(request)
+        if len(request.body) > SMALL_BODY_BYTES:
+            self._holding.resize(len(request.body))
+            self._holding.complete()
+        self._requests.append((request, self._holding))
+        self._holding = self._server.request_memory.open()
         self._wake_serve()
 
+    def _hold_body(self):
+        """Reserve memory for an incomplete body, or wait for it."""
+        size = self._parser.expected_body_size
+        if size <= max(SMALL_BODY_BYTES, self._holding.size):
+            return
+        if self._waits_since is not None or self._holding.reserve(size):
+            return
+        self._waits_since = self._server.loop.time()
+        self._transport.pause_reading()
+        self._holding.add_waiter(size).add_done_callback(self._resume_body)
+
+    def _resume_body(self, _):
+        self._holding.remove_waiter()
+        self._waits_since = None
+        self.last_activity = self._server.loop.time()
+        if not self.is_disconnected:
+            self._transport.resume_reading()
+
     def _send_continue(self):
         if not self._is_serving and not self._requests:
             self._transport.write(_CONTINUE_RESPONSE)
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
@@ -129,6 +129,13 @@
         """Return whether the head of the request is complete and its body is not."""
         return self._is_started and self._has_head
 
+    @property
+    def expected_body_size(self):
+        """Return the size of an incomplete body, as far as it is known, in bytes."""
+        if not self.is_in_body:
+            return 0
+        return max(self._body_size, int(self._headers.get("Content-Length", "0")))
+
     def feed(self, data):
         """Parse received bytes; no more may be fed after a `BadRequest`."""
         before = self._started_count
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/servers.py
@@ -4,8 +4,10 @@
 """
 
 import asyncio
+import math
 import socket
 
+from .body_memory import BodyMemory
 from .client_connections import ClientConnection
 from .limits import ClientLimits
 from .write_buffers import WriteBuffers
@@ -47,6 +49,8 @@
         Called with each client's socket to set its options.
     write_buffers : write_buffers.WriteBuffers
         Bounds the unsent response bytes of all connections.
+    request_memory : body_memory.BodyMemory
+        Bounds the bodies of all requests.
     """
 
     def __init__(
@@ -58,6 +62,7 @@
         on_bad_request,
         prepare_socket,
         write_buffers,
+        request_memory,
     ):
         self.address = address
         self.handle = handle
@@ -66,6 +71,7 @@
         self.on_bad_request = on_bad_request
         self.prepare_socket = prepare_socket
         self.write_buffers = write_buffers
+        self.request_memory = request_memory
         self.max_connections = 1_000
         self.loop = None
         self._sock = None
@@ -205,9 +211,11 @@
     prepare_socket=lambda sock: None,
     write_buffers=None,
     get_limits=ClientLimits,
+    request_memory=None,
 ):
     """Return a `Server` that binds its address when it is started."""
     write_buffers = write_buffers or WriteBuffers()
+    request_memory = request_memory or BodyMemory(lambda: math.inf)
     return Server(
         address,
         handle,
@@ -216,6 +224,7 @@
         on_bad_request,
         prepare_socket,
         write_buffers,
+        request_memory,
     )
 
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
@@ -166,7 +166,14 @@
         """Send the request; return None or a `Failure`."""
         self._call = call
         self._parser.expect(call.method)
-        return await self._send_all(memoryview(encode_call(call)))
+        head = encode_head(call)
+        body = memoryview(call.body)
+        # A long body is sent from where it is, as it may be large.
+        first = head + body[:_BODY_PART_BYTES]
+        failure, is_sent = await self._send_all(memoryview(first))
+        if failure is None and is_sent:
+            failure, _ = await self._send_all(body[_BODY_PART_BYTES:])
+        return failure
 
     async def read(self, deadline=None):
         """Return the next `Head`, `Data`, `End` or `Failure`.
@@ -238,7 +245,7 @@
         while not self._holding.may_grow:
             until = self._get_end(deadline)
             try:
-                waiter = self._holding.add_waiter()
+                waiter = self._holding.add_waiter(size + _READ_SIZE_BYTES)
                 result = await wait_for_future(waiter, until, self._client)
             finally:
                 self._holding.remove_waiter()
@@ -374,7 +381,10 @@
         self._keep(sock, self._lifetime)
 
     async def _send_all(self, data):
-        """Send until all is sent or the upstream begins to respond."""
+        """Send until all is sent or the upstream begins to respond.
+
+        Returns None or a `Failure`, and whether all has been sent.
+        """
         while data:
             try:
                 data = data[self._sock.send(data) :]
@@ -384,15 +394,15 @@
             except OSError as exc:
                 # A response may have been received before the reset; it is read next.
                 self._reusable = False
-                return self._check_send_error(exc)
+                return self._check_send_error(exc), False
             failure = await self._wait(None, writing=True)
             if failure is not None:
-                return failure
+                return failure, False
             if is_readable(self._sock):
                 # The upstream would parse the rest of the body as another request.
                 self._reusable = False
-                return None
-        return None
+                return None, False
+        return None, True
 
     def _check_send_error(self, exc):
         if is_readable(self._sock):
@@ -405,11 +415,11 @@
         return Failure(fault, text, status, broke_off, bound=bound)
 
 
-def encode_call(call):
-    """Return the bytes of a request: its head and body."""
+def encode_head(call):
+    """Return the bytes of the head of a request."""
     lines = [f"{call.method} {call.target} HTTP/1.1"]
     lines += [f"{name}: {value}" for name, value in call.headers]
-    return "\r\n".join([*lines, "", ""]).encode("latin-1") + call.body
+    return "\r\n".join([*lines, "", ""]).encode("latin-1")
 
 
 def prepare_headers(headers, dropped, added):
