--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -29,6 +29,7 @@
 # then told to return.
 _MAX_MEMORY_WAIT_S = 2.0
 _MEMORY_RETRY_AFTER_S = 0.5
+_MAX_DISCARD_S = 1.0
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -338,7 +339,20 @@
             rows.append(("Retry-After", f"{fault.retry_after:.2f}"))
         framing = [f"Content-Length: {len(body)}"]
         self.write(encode_head(fault.status, rows, framing, False) + body)
-        self.close()
+        if self._parser.is_in_body and not self.is_disconnected:
+            self._discard_rest()
+        else:
+            self.close()
+
+    def _discard_rest(self):
+        """Close once the client has sent its body, or does so for too long.
+
+        To close with unread bytes would reset the connection, and the client might lose
+        the response.
+        """
+        self._transport.write_eof()
+        self._transport.resume_reading()
+        self._server.loop.call_later(_MAX_DISCARD_S, self.close)
 
     def _mark_disconnected(self):
         if self.is_disconnected:
