--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -176,7 +176,7 @@
 
     def get_pressure(self):
         """Return the `pressure.PressureLevel` of this gateway."""
-        buffered_bytes = self.write_buffers.total + self.body_bytes
+        buffered_bytes = self.write_buffers.total + self.read_limits.bodies.total
         max_inflight = self.cfg.compute_max_inflight(buffered_bytes)
         occupancy = get_occupancy_level(self._inflight, max_inflight)
         return max(self.pressure.level, occupancy)
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -84,7 +84,8 @@
             self._parser.feed(data)
         except BadRequest as exc:
             self._set_fault(exc)
-        self._hold_body()
+        else:
+            self._hold_body()
         if len(self._requests) >= _MAX_PIPELINED_REQUEST_COUNT:
             self._transport.pause_reading()
 
--- a/packages/valeweir_gateway/tests/test_servers.py
+++ b/packages/valeweir_gateway/tests/test_servers.py
@@ -199,6 +199,16 @@
         self.assertEqual(errors, [])
 
 
+class TestBodyBeyondTheLimit(ServerCase):
+    """Guards against memory that is reserved for a body which has been refused."""
+
+    def test_stated_size(self):
+        sock = self.connect()
+        sock.sendall(b"POST /a HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\nx")
+        self.assertTrue(read_all(sock).startswith(b"HTTP/1.1 413 "))
+        self.assertEqual(self.server.request_memory.total, 0)
+
+
 class TestStreams(ServerCase):
     async def handle(self, request, reply):
         self.reply = reply
