--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
@@ -205,9 +205,11 @@
     async def read_body(self, deadline=None):
         """Return the complete `Body`, or a `Failure`."""
         parts = []
+        size = 0
         while True:
             event = await self.read(deadline)
             if isinstance(event, End):
+                self._holding.resize(size)
                 self._holding.complete()
                 return Body(parts, self._holding)
             if isinstance(event, Failure):
@@ -216,7 +218,7 @@
                 parts[-1] += event.data
             else:
                 parts.append(bytearray(event.data))
-            size = self._holding.size + len(event.data)
+            size += len(event.data)
             if size > self._limits.max_body_bytes:
                 return self.exceed(Bound.BODY)
             failure = await self.hold(size, deadline)
@@ -242,16 +244,17 @@
         Returns None or a `Failure`.
         """
         self._holding.resize(size)
-        while not self._holding.may_grow:
-            until = self._get_end(deadline)
-            try:
-                waiter = self._holding.add_waiter(size + _READ_SIZE_BYTES)
-                result = await wait_for_future(waiter, until, self._client)
-            finally:
-                self._holding.remove_waiter()
-            if result is not WaitResult.READY:
-                return self._fail_wait(result, until)
-        return None
+        if self._holding.may_grow:
+            return None
+        until = self._get_end(deadline)
+        try:
+            waiter = self._holding.add_waiter(size + _READ_SIZE_BYTES)
+            result = await wait_for_future(waiter, until, self._client)
+        finally:
+            self._holding.remove_waiter()
+        if result is WaitResult.READY:
+            return None
+        return self._fail_wait(result, until)
 
     def exceed(self, bound):
         """Abandon a response that exceeds a `Bound`; return a `Failure`."""
