--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -26,7 +26,7 @@
 # Limits the complete requests of one connection that wait for an earlier one.
 _MAX_PIPELINED_REQUEST_COUNT = 8
 # A client waits at most this long for the memory that its request body needs, and is
-# then told to return.
+# then asked to retry later.
 _MAX_MEMORY_WAIT_S = 2.0
 _MEMORY_RETRY_AFTER_S = 0.5
 _MAX_DISCARD_S = 1.0
