--- a/review/common2/standins.py
+++ b/review/common2/standins.py
@@ -229,6 +229,15 @@
             "born": self._born,
         }
 
+    @property
+    def seq(self):
+        """Return the sequence number of the last entry."""
+        return self._seq
+
+    def stop_beats(self):
+        """Write no more entries."""
+        self._beats = False
+
     def _beat(self):
         while self._beats:
             self.write_entry()
