--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,8 @@
 """Idle client connections keep the bodies of their last requests in memory.
 
-Two gateways have 40 clients each. A client keeps its connection and sends a long
-request now and then. With the disruption, one gateway is killed and its clients go on
-at the other one. The platform ends a process over its memory limit, and what runs there
+Two gateways have 46 clients each. A client keeps its connection and sends a long
+request now and then. With the disruption, one gateway is killed for 2 s and its
+clients go on at the other one. The platform ends a process over its memory limit, and what runs there
 is lost.
 """
 
@@ -18,7 +18,7 @@
 import standins as s  # noqa: E402
 
 GATEWAY_COUNT = 2
-CLIENTS_PER_GATEWAY = 40
+CLIENTS_PER_GATEWAY = 46
 KILLED_COUNT = 1
 BODY_BYTES = 4_000_000
 MEMORY_MB = 300
@@ -29,7 +29,9 @@
 REST_S = (3.0, 5.0)
 WORK_S = 4.0
 KILL_AT_S = 14.0
-END_AT_S = 34.0
+# How long the killed gateway is down.
+DOWN_S = 2.0
+END_AT_S = 27.0
 CHECK_S = 0.05
 MAX_LOST_COUNT = 3
 
@@ -140,6 +142,12 @@
             killed.add(number)
             gateways[number].stop()
             record.note("case", f"kills front-{number}")
+        time.sleep(DOWN_S)
+        for number in range(KILLED_COUNT):
+            gateways[number].start()
+            gateways[number].wait_ready()
+            record.note("platform", f"has started front-{number} again")
+            killed.discard(number)
     time.sleep(max(0.0, started + END_AT_S - time.monotonic()))
     stopped.set()
     time.sleep(0.2)
