--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,12 +1,13 @@
-"""Idle client connections keep the bodies of their last requests in memory.
+"""Answers without a length that are reset on the way, while the request is sent.
 
-Two gateways have 46 clients each. A client keeps its connection and sends a long
-request now and then. With the disruption, one gateway is killed for 2 s and its clients
-go on at the other one. The platform ends a process over its memory limit, and what runs
-there is lost.
+Both servers answer long requests before they have read them, without a length, then
+read the rest and close. With the disruption, one of them cuts off 2 in 100 of its
+answers: it resets the connection in the middle. A client must not get such an answer
+as complete.
 """
 
-import random
+import socket
+import struct
 import sys
 import threading
 import time
@@ -17,145 +18,109 @@
 
 import standins as s  # noqa: E402
 
-GATEWAY_COUNT = 2
-CLIENTS_PER_GATEWAY = 46
-KILLED_COUNT = 1
-BODY_BYTES = 4_000_000
-MEMORY_MB = 300
-# The larger meaning of a megabyte.
-LIMIT_BYTES = MEMORY_MB << 20
-# A client rests on its kept connection for four fifths of the idle time-out at most.
-IDLE_TIMEOUT_S = 15.0
-REST_S = (3.0, 5.0)
-WORK_S = 4.0
-KILL_AT_S = 14.0
-# How long the killed gateway is down.
-DOWN_S = 2.0
-END_AT_S = 27.0
-CHECK_S = 0.05
-MAX_LOST_COUNT = 3
+REQUEST_COUNT = 700
+# Every fourth request is long.
+LONG_EVERY = 4
+LONG_BYTES = 4 << 20
+PART = b"line of the answer\n" * 200
+WHOLE = PART * 4
+CUT_RATIO = 0.02
+
+
+class Service:
+    """What the servers do, and which of their answers were cut off."""
+
+    def __init__(self, record):
+        self._record = record
+        self._lock = threading.Lock()
+        self._answer_counts = {}
+        # One of the two servers, the first that gets a long request.
+        self._faulty = None
+        self.cut_ids = set()
+
+    def serve(self, server, sock, request):
+        """Answer one request."""
+        if request.length < LONG_BYTES:
+            request.read_rest(sock)
+            self._note(server, request, False)
+            sock.sendall(s.make_answer(200, request.id, WHOLE))
+            return True
+        is_cut = self._choose_cut(server)
+        self._note(server, request, is_cut)
+        head = s.make_answer(200, request.id, b"", framed=False)
+        if is_cut:
+            self.cut_ids.add(request.id)
+            sock.sendall(head + PART)
+            reset(sock)
+            return False
+        sock.sendall(head + WHOLE)
+        # The end of the answer, before the rest of the request is read.
+        sock.shutdown(socket.SHUT_WR)
+        request.read_rest(sock)
+        return False
+
+    def _choose_cut(self, server):
+        with self._lock:
+            count = self._answer_counts.get(server.name, 0)
+            if self._faulty is None:
+                self._faulty = server.name
+            is_faulty = s.is_trouble_on() and server.name == self._faulty
+            return is_faulty and len(self.cut_ids) + 1 <= CUT_RATIO * count
+
+    def _note(self, server, request, is_cut):
+        with self._lock:
+            count = self._answer_counts.get(server.name, 0)
+            self._answer_counts[server.name] = count + 1
+        how = ", resets its answer after a part" if is_cut else ""
+        self._record.note(server.name, f"runs {request.id}{how}")
+
+
+def reset(sock):
+    """Reset a connection."""
+    linger = struct.pack("ii", 1, 0)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    sock.close()
 
 
 def play(record, folder, gateways):
-    """Return whether no gateway lost more than three requests by ending itself."""
+    """Return whether no client got a part of an answer as complete."""
     store = s.Store()
-    running = {}
-    lock = threading.Lock()
-
-    def serve(server, sock, request):
-        record.note(server.name, f"runs {request.id}")
-        with lock:
-            running[request.id] = server.name
-        time.sleep(WORK_S)
-        sock.sendall(s.make_answer(200, request.id, b"ok"))
-        return True
-
-    for number in range(3):
-        s.Server(store, record, f"i-{number}", "orders", serve)
+    service = Service(record)
+    for name in ("i-1", "i-2"):
+        s.Server(store, record, name, "orders", service.serve, reads_body=False)
     routes = [s.make_route("book", "unsafe", "orders")]
-    limits = {"maxBodyBytes": 4 << 20, "idleTimeoutMs": int(IDLE_TIMEOUT_S * 1000)}
-    services = [{"name": "orders", "maxConns": 110}]
-    store.put("keyed.op", "config", s.make_config(routes, services, **limits))
-    for number in range(GATEWAY_COUNT):
-        gateway = s.Gateway(folder, store, number, memory_mb=MEMORY_MB)
-        gateways.append(gateway)
-        gateway.start()
-    if not all(gateway.wait_ready() for gateway in gateways):
+    config = s.make_config(routes, [{"name": "orders", "maxConns": 110}])
+    store.put("keyed.op", "config", config)
+    gateway = s.Gateway(folder, store)
+    gateways.append(gateway)
+    gateway.start()
+    if not gateway.wait_ready():
         return None
+    time.sleep(1.0)
+    wrong = []
 
-    started = time.monotonic()
-    stopped = threading.Event()
-    # Gateways that the script killed as its disruption.
-    killed = set()
-    # Gateways that went over their limit, with the largest size seen of each.
-    ended = set()
-    peaks = dict.fromkeys(range(GATEWAY_COUNT), 0)
-    lost = []
-
-    def watch():
-        while not stopped.wait(CHECK_S):
-            for number, gateway in enumerate(gateways):
-                if number in killed or number in ended:
-                    continue
-                size = gateway.resident_bytes()
-                peaks[number] = max(peaks[number], size)
-                if size > LIMIT_BYTES:
-                    ended.add(number)
-                    gateway.stop()
-                    text = f"ends front-{number}: {size / 1e6:.0f} MB"
-                    record.note("platform", f"{text}, limit {MEMORY_MB} MB")
-
-    def call(name, number):
-        rng = random.Random(name)
-        client = None
-        count = 0
-        sent_here = 0
-        if stopped.wait(rng.uniform(0.0, REST_S[1])):
-            return
-        while not stopped.is_set():
-            if number in killed | ended:
-                live = set(range(GATEWAY_COUNT)) - killed - ended
-                if not live:
-                    return
-                number = rng.choice(sorted(live))
-            count += 1
-            request_id = f"c{name}-{count}"
-            answer = None
-            try:
-                if client is None:
-                    client = s.Client(gateways[number].clients)
-                    sent_here = 0
-                client.send("POST", "book", request_id, b"b" * BODY_BYTES)
-                sent_here += 1
-                answer = client.read()
-            except OSError as exc:
-                record.note("client", f"{request_id} at front-{number}: {exc}")
-            if answer is not None:
-                text = f"{answer.status}, connection: {answer.end}"
-                record.note("client", f"{request_id} at front-{number}: {text}")
-            if answer is None or answer.end != "whole":
-                was_run = request_id in running
-                if number not in killed and was_run and sent_here > 1:
-                    # On a kept connection, passed on to a sound server.
-                    lost.append(request_id)
-                if client is not None:
-                    client.close()
-                    client = None
-                # The platform's entry stops sending clients to a machine that ended.
-                stopped.wait(0.1)
-                continue
-            if answer.headers.get("connection") == "close":
-                client.close()
-                client = None
-            stopped.wait(rng.uniform(*REST_S))
-
-    threading.Thread(target=watch, daemon=True).start()
-    threads = [
-        threading.Thread(target=call, args=(name, name % GATEWAY_COUNT), daemon=True)
-        for name in range(GATEWAY_COUNT * CLIENTS_PER_GATEWAY)
-    ]
-    for thread in threads:
-        thread.start()
-    time.sleep(KILL_AT_S)
-    if s.is_trouble_on():
-        for number in range(KILLED_COUNT):
-            killed.add(number)
-            gateways[number].stop()
-            record.note("case", f"kills front-{number}")
-        time.sleep(DOWN_S)
-        for number in range(KILLED_COUNT):
-            gateways[number].start()
-            gateways[number].wait_ready()
-            record.note("platform", f"has started front-{number} again")
-            killed.discard(number)
-    time.sleep(max(0.0, started + END_AT_S - time.monotonic()))
-    stopped.set()
-    time.sleep(0.2)
-    sizes = ", ".join(f"{size / 1e6:.0f}" for size in peaks.values())
-    record.note("case", f"largest sizes in MB: {sizes}")
-    text = f"{len(ended)} gateways over their limit, {len(lost)} requests lost"
-    record.note("case", text)
-    return not ended or len(lost) <= MAX_LOST_COUNT
+    client = None
+    for number in range(REQUEST_COUNT):
+        is_long = number % LONG_EVERY == 0
+        request_id = f"r{number}"
+        if client is None:
+            client = s.Client(gateway.clients)
+        client.send("POST", "book", request_id, b"b" * (LONG_BYTES if is_long else 100))
+        answer = client.read()
+        text = f"{request_id}: {answer.status}, {len(answer.body)} bytes"
+        text += f", connection: {answer.end}"
+        if answer.status == 200 and answer.is_complete and answer.body != WHOLE:
+            wrong.append(request_id)
+            text += ", taken as complete, but it is not the whole answer"
+        record.note("client", text)
+        if answer.headers.get("connection") == "close" or answer.end != "whole":
+            client.close()
+            client = None
+    cut = len(service.cut_ids)
+    record.note("case", f"{cut} answers were reset, {len(wrong)} passed as complete")
+    if s.is_trouble_on() and not cut:
+        return None
+    return not wrong
 
 
 if __name__ == "__main__":
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,11 +1,12 @@
-"""A zone is lost, and the streams that its gateways began can't be taken up.
+"""Idle client connections keep the bodies of their last requests in memory.
 
-18 gateways in three zones, more than the 16 up to which each reports to all others.
-Clients have resumable streams at the gateways of zone a. With the disruption, these
-gateways are killed; without it, each client's connection breaks. Clients take their
-streams up at gateways of the other zones, which nothing has happened to.
+Two gateways have 46 clients each. A client keeps its connection and sends a long
+request now and then. With the disruption, one gateway is killed for 2 s and its clients
+go on at the other one. The platform ends a process over its memory limit, and what runs
+there is lost.
 """
 
+import random
 import sys
 import threading
 import time
@@ -16,139 +17,145 @@
 
 import standins as s  # noqa: E402
 
-ZONES = ("zone-a", "zone-b", "zone-c")
-GATEWAYS_PER_ZONE = 6
-STREAM_COUNT = 24
-NEW_STREAM_COUNT = 24
-EVENT_COUNT = 60
-EVENT_S = 0.1
-# Time for the gateways to learn of each other.
-SETTLE_S = 8.0
-# When the connections break, since the first stream began.
-BREAKS_AFTER_S = 2.5
-MAX_TRY_COUNT = 8
-TAKE_UP_S = 6.0
-MIN_STREAM_COUNT = 12
+GATEWAY_COUNT = 2
+CLIENTS_PER_GATEWAY = 46
+KILLED_COUNT = 1
+BODY_BYTES = 4_000_000
+MEMORY_MB = 300
+# The larger meaning of a megabyte.
+LIMIT_BYTES = MEMORY_MB << 20
+# A client rests on its kept connection for four fifths of the idle time-out at most.
+IDLE_TIMEOUT_S = 15.0
+REST_S = (3.0, 5.0)
+WORK_S = 4.0
+KILL_AT_S = 14.0
+# How long the killed gateway is down.
+DOWN_S = 2.0
+END_AT_S = 27.0
+CHECK_S = 0.05
+MAX_LOST_COUNT = 3
 
 
 def play(record, folder, gateways):
-    """Return whether streams were taken up half as often as new ones began."""
+    """Return whether no gateway lost more than three requests by ending itself."""
     store = s.Store()
+    running = {}
+    lock = threading.Lock()
 
     def serve(server, sock, request):
-        last = int(request.headers.get("last-event-id", "0"))
-        record.note(server.name, f"runs {request.id} from event {last + 1}")
-        more = ["Content-Type: text/event-stream"]
-        sock.sendall(s.make_answer(200, request.id, b"", framed=False, more=more))
-        for number in range(last + 1, EVENT_COUNT + 1):
-            time.sleep(EVENT_S)
-            sock.sendall(b"id: %d\ndata: %s\n\n" % (number, server.version.encode()))
-        return False
+        record.note(server.name, f"runs {request.id}")
+        with lock:
+            running[request.id] = server.name
+        time.sleep(WORK_S)
+        sock.sendall(s.make_answer(200, request.id, b"ok"))
+        return True
 
-    for number in range(12):
-        zone = ZONES[number % 3]
-        version = ("v1", "v2")[number % 2]
-        s.Server(
-            store, record, f"i-{number}", "model", serve, zone=zone, version=version
-        )
-    more = {"timeoutMs": 15000, "gapGoalMs": 400, "resumable": True}
-    routes = [s.make_route("plan", "streaming", "model", **more)]
-    services = [{"name": "model", "maxConns": 480}]
-    store.put("keyed.op", "config", s.make_config(routes, services))
-    count = GATEWAYS_PER_ZONE * len(ZONES)
-    ports = s.pick_ports(count)
-    for number in range(count):
-        gateway = s.Gateway(
-            folder,
-            store,
-            number,
-            ip=s.make_ip(number),
-            ports=ports,
-            zone=ZONES[number % 3],
-        )
+    for number in range(3):
+        s.Server(store, record, f"i-{number}", "orders", serve)
+    routes = [s.make_route("book", "unsafe", "orders")]
+    limits = {"maxBodyBytes": 4 << 20, "idleTimeoutMs": int(IDLE_TIMEOUT_S * 1000)}
+    services = [{"name": "orders", "maxConns": 110}]
+    store.put("keyed.op", "config", s.make_config(routes, services, **limits))
+    for number in range(GATEWAY_COUNT):
+        gateway = s.Gateway(folder, store, number, memory_mb=MEMORY_MB)
         gateways.append(gateway)
         gateway.start()
     if not all(gateway.wait_ready() for gateway in gateways):
         return None
-    time.sleep(SETTLE_S)
-    lost_zone = [row for row in gateways if row.zone == "zone-a"]
-    others = [row for row in gateways if row.zone != "zone-a"]
-    broken = threading.Event()
-    taken_up = []
-    resumed = []
-    begun = []
 
-    def stream(number):
-        first_id = f"s{number}"
-        client = s.Client(lost_zone[number % len(lost_zone)].clients)
-        client.send("POST", "plan", first_id, b"prompt", 15000)
-        received = client.read_events(broken)
-        client.close()
-        record.note("client", f"{first_id} breaks after event {received}")
-        if not 0 < received < EVENT_COUNT:
-            return
-        broken.wait()
-        time.sleep(0.2)
-        taken_up.append(first_id)
-        until = time.monotonic() + TAKE_UP_S
-        for attempt in range(MAX_TRY_COUNT):
-            if time.monotonic() > until:
-                return
-            gateway = others[(number * 5 + attempt) % len(others)]
-            request_id = f"{first_id}-again{attempt}"
-            client = s.Client(gateway.clients)
-            more = [f"Last-Event-Id: {received}", f"Resumes: {first_id}"]
-            client.send("POST", "plan", request_id, b"prompt", 6000, more)
-            answer = client.read()
-            client.close()
-            text = f"{answer.status} {answer.body[:40]!r}"
-            record.note("client", f"{request_id} after event {received}: {text}")
-            if answer.status == 200 and b"id: %d\n" % (received + 1) in answer.body:
-                resumed.append(first_id)
-                return
-            time.sleep(float(answer.headers.get("retry-after", "0.2")))
+    started = time.monotonic()
+    stopped = threading.Event()
+    # Gateways that the script killed as its disruption.
+    killed = set()
+    # Gateways that went over their limit, with the largest size seen of each.
+    ended = set()
+    peaks = dict.fromkeys(range(GATEWAY_COUNT), 0)
+    lost = []
+
+    def watch():
+        while not stopped.wait(CHECK_S):
+            for number, gateway in enumerate(gateways):
+                if number in killed or number in ended:
+                    continue
+                size = gateway.resident_bytes()
+                peaks[number] = max(peaks[number], size)
+                if size > LIMIT_BYTES:
+                    ended.add(number)
+                    gateway.stop()
+                    text = f"ends front-{number}: {size / 1e6:.0f} MB"
+                    record.note("platform", f"{text}, limit {MEMORY_MB} MB")
 
-    def begin(number):
-        client = s.Client(others[number % len(others)].clients)
-        client.send("POST", "plan", f"new{number}", b"prompt", 15000)
-        answer = client.read()
-        record.note("client", f"new{number}: {answer.status}, {len(answer.body)} bytes")
-        client.close()
-        if answer.status == 200 and b"id: 1\n" in answer.body:
-            begun.append(number)
+    def call(name, number):
+        rng = random.Random(name)
+        client = None
+        count = 0
+        sent_here = 0
+        if stopped.wait(rng.uniform(0.0, REST_S[1])):
+            return
+        while not stopped.is_set():
+            if number in killed | ended:
+                live = set(range(GATEWAY_COUNT)) - killed - ended
+                if not live:
+                    return
+                number = rng.choice(sorted(live))
+            count += 1
+            request_id = f"c{name}-{count}"
+            answer = None
+            try:
+                if client is None:
+                    client = s.Client(gateways[number].clients)
+                    sent_here = 0
+                client.send("POST", "book", request_id, b"b" * BODY_BYTES)
+                sent_here += 1
+                answer = client.read()
+            except OSError as exc:
+                record.note("client", f"{request_id} at front-{number}: {exc}")
+            if answer is not None:
+                text = f"{answer.status}, connection: {answer.end}"
+                record.note("client", f"{request_id} at front-{number}: {text}")
+            if answer is None or answer.end != "whole":
+                was_run = request_id in running
+                if number not in killed and was_run and sent_here > 1:
+                    # On a kept connection, passed on to a sound server.
+                    lost.append(request_id)
+                if client is not None:
+                    client.close()
+                    client = None
+                # The platform's entry stops sending clients to a machine that ended.
+                stopped.wait(0.1)
+                continue
+            if answer.headers.get("connection") == "close":
+                client.close()
+                client = None
+            stopped.wait(rng.uniform(*REST_S))
 
+    threading.Thread(target=watch, daemon=True).start()
     threads = [
-        threading.Thread(target=stream, args=(n,), daemon=True)
-        for n in range(STREAM_COUNT)
+        threading.Thread(target=call, args=(name, name % GATEWAY_COUNT), daemon=True)
+        for name in range(GATEWAY_COUNT * CLIENTS_PER_GATEWAY)
     ]
     for thread in threads:
         thread.start()
-        time.sleep(0.02)
-    time.sleep(BREAKS_AFTER_S)
+    time.sleep(KILL_AT_S)
     if s.is_trouble_on():
-        for gateway in lost_zone:
-            gateway.process.kill()
-        record.note("case", "kills the gateways of zone a")
-    else:
-        record.note("case", "breaks the connections of the clients")
-    broken.set()
-    time.sleep(0.5)
-    new = [
-        threading.Thread(target=begin, args=(n,), daemon=True)
-        for n in range(NEW_STREAM_COUNT)
-    ]
-    for thread in new:
-        thread.start()
-        time.sleep(0.02)
-    for thread in threads + new:
-        thread.join(30.0)
-    text = f"{len(resumed)} of {len(taken_up)} streams taken up went on"
-    text += f", {len(begun)} of {NEW_STREAM_COUNT} new ones began"
+        for number in range(KILLED_COUNT):
+            killed.add(number)
+            gateways[number].stop()
+            record.note("case", f"kills front-{number}")
+        time.sleep(DOWN_S)
+        for number in range(KILLED_COUNT):
+            gateways[number].start()
+            gateways[number].wait_ready()
+            record.note("platform", f"has started front-{number} again")
+            killed.discard(number)
+    time.sleep(max(0.0, started + END_AT_S - time.monotonic()))
+    stopped.set()
+    time.sleep(0.2)
+    sizes = ", ".join(f"{size / 1e6:.0f}" for size in peaks.values())
+    record.note("case", f"largest sizes in MB: {sizes}")
+    text = f"{len(ended)} gateways over their limit, {len(lost)} requests lost"
     record.note("case", text)
-    if len(taken_up) < MIN_STREAM_COUNT:
-        return None
-    share = len(resumed) / len(taken_up)
-    return share >= 0.5 * len(begun) / NEW_STREAM_COUNT
+    return not ended or len(lost) <= MAX_LOST_COUNT
 
 
 if __name__ == "__main__":
