--- a/review/7/case.py
+++ b/review/7/case.py
@@ -56,8 +56,16 @@
     limits = {"maxBodyBytes": 4 << 20, "idleTimeoutMs": int(IDLE_TIMEOUT_S * 1000)}
     services = [{"name": "orders", "maxConns": 110}]
     store.put("keyed.op", "config", s.make_config(routes, services, **limits))
+    ports = s.pick_ports(GATEWAY_COUNT)
     for number in range(GATEWAY_COUNT):
-        gateway = s.Gateway(folder, store, number, memory_mb=MEMORY_MB)
+        gateway = s.Gateway(
+            folder,
+            store,
+            number,
+            memory_mb=MEMORY_MB,
+            ip=s.make_ip(number),
+            ports=ports,
+        )
         gateways.append(gateway)
         gateway.start()
     if not all(gateway.wait_ready() for gateway in gateways):
