--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -13,6 +13,7 @@
 from .loops import create_loop
 from .operations import metrics
 from .operations.decision_log import DecisionLog
+from .operations.memory_use import MemoryMonitor, read_resident_bytes
 from .operations.quarantine_api import QUARANTINE_PATH, create_quarantine_handler
 from .placement.caches import (
     CACHES_PATH,
@@ -102,6 +103,7 @@
         self._metrics_server = _create_metrics_server(state, self._update_gauges)
         self._domain_prober = DomainProber(state)
         self._view_age_monitor = ViewAgeMonitor(state)
+        self._memory_monitor = MemoryMonitor(state, lambda: len(clients))
         self._publisher = Publisher(state, adapter, listen.reports)
 
     def start(self):
@@ -142,6 +144,7 @@
         self.timers.subscribe(
             "view-age", _VIEW_AGE_CHECK_S, self._view_age_monitor.check
         )
+        self.timers.subscribe("memory", _CHECK_INTERVAL_S, self._memory_monitor.check)
         self.timers.start()
 
     def stop(self):
@@ -317,6 +320,7 @@
         gauges.share_level.set(state.shares.get_share_level())
         if state.catalog:
             gauges.declared.set(state.catalog.limits.tokens_per_second)
+        gauges.resident_bytes.set(read_resident_bytes())
         gauges.buffered_bytes.set(state.write_buffers.total)
         gauges.body_bytes.labels("request").set(state.request_memory.total)
         gauges.body_bytes.labels("response").set(state.read_limits.bodies.total)
--- a/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/operations/metrics.py
@@ -178,6 +178,9 @@
         self.buffered_bytes = self._gauge(
             "response_buffer_bytes", "Unsent response bytes of slow clients"
         )
+        self.resident_bytes = self._gauge(
+            "resident_bytes", "Resident memory of the process, 0 if unknown"
+        )
         self.body_bytes = self._gauge(
             "body_bytes", "Bytes of buffered message bodies, by kind of message", "kind"
         )
