--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -192,17 +192,24 @@
                 self._request_waiter = self._server.loop.create_future()
                 await self._request_waiter
                 continue
-            request, holding = self._requests.popleft()
-            if self._waits_since is None:
-                self._transport.resume_reading()
-            try:
-                stays_open = await self._serve_request(request)
-            finally:
-                holding.close()
-            if not stays_open:
+            if not await self._serve_next():
                 self.close()
                 return
 
+    async def _serve_next(self):
+        """Serve the oldest request; return whether the connection stays open.
+
+        The request is referenced by this call only, so that its body is released
+        before the connection becomes idle.
+        """
+        request, holding = self._requests.popleft()
+        if self._waits_since is None:
+            self._transport.resume_reading()
+        try:
+            return await self._serve_request(request)
+        finally:
+            holding.close()
+
     async def _serve_request(self, request):
         """Serve one request; return whether the connection stays open."""
         # The deadline of an earlier stream must not end a later response.
