--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -54,7 +54,9 @@
         # Of the body that is being received, and since when it waits for memory.
         self._holding = server.request_memory.open()
         self._waits_since = None
-        self._fault = None
+        # The response to a request that cannot be read; it follows all others.
+        self._error_response = None
+        self._is_body_unread = False
         self._request_waiter = None
         self._drain_waiter = None
         self._write_paused = False
@@ -78,12 +80,12 @@
 
     def data_received(self, data):  # noqa: D102
         self.last_activity = self._server.loop.time()
-        if self._fault is not None:
+        if self._error_response is not None:
             return
         try:
             self._parser.feed(data)
         except BadRequest as exc:
-            self._set_fault(exc)
+            self._reject_input(exc)
         else:
             self._hold_body()
         if len(self._requests) >= _MAX_PIPELINED_REQUEST_COUNT:
@@ -96,8 +98,9 @@
     def connection_lost(self, exc):  # noqa: D102
         self._mark_disconnected()
         self._count_buffer(0)
-        self._holding.remove_waiter()
-        for holding in (self._holding, *(row[1] for row in self._requests)):
+        self._release_input()
+        while self._requests:
+            _, holding = self._requests.popleft()
             holding.close()
         self._server.remove(self)
 
@@ -186,8 +189,8 @@
         """Serve requests until the connection ends; runs as the connection's task."""
         while not self.is_disconnected:
             if not self._requests:
-                if self._fault is not None:
-                    self._send_error(self._fault)
+                if self._error_response is not None:
+                    self._send_error()
                     return
                 self._request_waiter = self._server.loop.create_future()
                 await self._request_waiter
@@ -234,11 +237,11 @@
         """Close the connection if it is idle, or reads or sends too slowly."""
         if self._stream is not None:
             self._check_stream(now)
-        if self._is_serving or self._requests or self._fault is not None:
+        if self._is_serving or self._requests or self._error_response is not None:
             return
         if self._waits_since is not None:
             if now - self._waits_since > _MAX_MEMORY_WAIT_S:
-                self._set_fault(
+                self._reject_input(
                     BadRequest(
                         503,
                         "the memory for request bodies is in use",
@@ -249,12 +252,12 @@
         idle_time = now - self.last_activity
         if self._parser.is_reading and not self._parser.is_in_body:
             if idle_time > self._server.get_limits().header_timeout:
-                self._set_fault(
+                self._reject_input(
                     BadRequest(408, "the request head was not received in time")
                 )
         elif idle_time > self._server.get_limits().idle_timeout:
             if self._parser.is_reading:
-                self._set_fault(
+                self._reject_input(
                     BadRequest(408, "the request body was not received in time")
                 )
             else:
@@ -298,12 +301,21 @@
         self._server.write_buffers.update(self._buffered_size, size)
         self._buffered_size = size
 
-    def _set_fault(self, fault):
+    def _reject_input(self, fault):
         """Stop reading; the error response follows those of the earlier requests."""
-        self._fault = self._server.on_bad_request(fault)
-        self._server.on_rejection(f"http-{self._fault.status}")
+        fault = self._server.on_bad_request(fault)
+        self._server.on_rejection(f"http-{fault.status}")
+        self._error_response = _encode_error(fault)
+        self._is_body_unread = self._parser.is_in_body
+        self._release_input()
         self._wake_serve()
 
+    def _release_input(self):
+        """Release the memory of an incomplete request."""
+        self._holding.remove_waiter()
+        self._holding.close()
+        self._parser.close()
+
     def _add_request(self, request):
         if len(request.body) > SMALL_BODY_BYTES:
             self._holding.resize(len(request.body))
@@ -334,20 +346,9 @@
         if not self._is_serving and not self._requests:
             self._transport.write(_CONTINUE_RESPONSE)
 
-    def _send_error(self, fault):
-        """Send an error response that marks the malformed request as not run."""
-        body = msgspec.json.encode(
-            {"error": {"code": f"http-{fault.status}", "message": fault.text}}
-        )
-        rows = [
-            ("Content-Type", "application/json"),
-            (OUTCOME_HEADER, Outcome.NOT_RUN.value),
-        ]
-        if fault.retry_after is not None:
-            rows.append(("Retry-After", f"{fault.retry_after:.2f}"))
-        framing = [f"Content-Length: {len(body)}"]
-        self.write(encode_head(fault.status, rows, framing, False) + body)
-        if self._parser.is_in_body and not self.is_disconnected:
+    def _send_error(self):
+        self.write(self._error_response)
+        if self._is_body_unread and not self.is_disconnected:
             self._discard_rest()
         else:
             self.close()
@@ -373,3 +374,18 @@
 
     def _wake_serve(self):
         set_result_if_pending(self._request_waiter)
+
+
+def _encode_error(fault):
+    """Return an error response that marks the malformed request as not run."""
+    body = msgspec.json.encode(
+        {"error": {"code": f"http-{fault.status}", "message": fault.text}}
+    )
+    rows = [
+        ("Content-Type", "application/json"),
+        (OUTCOME_HEADER, Outcome.NOT_RUN.value),
+    ]
+    if fault.retry_after is not None:
+        rows.append(("Retry-After", f"{fault.retry_after:.2f}"))
+    framing = [f"Content-Length: {len(body)}"]
+    return encode_head(fault.status, rows, framing, False) + body
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/requests.py
@@ -145,6 +145,17 @@
         if self._started_count == before:
             self._check_partial_head_size(len(data))
 
+    def close(self):
+        """Release what was received of an incomplete request; nothing more may be fed.
+
+        The parser of httptools refers to this one, so that without this the bytes would
+        stay in memory until the next garbage collection.
+        """
+        self._reset()
+        self._fault = None
+        self._parser = None
+        self._on_request = self._on_continue = None
+
     def _parse(self, data):
         """Pass bytes to httptools; return those that it did not consume."""
         try:
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/responses.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/responses.py
@@ -105,6 +105,15 @@
         """Remove and return the next event, or None if there is none."""
         return self._events.popleft() if self._events else None
 
+    def close(self):
+        """Release what was received; nothing more may be fed.
+
+        The parser of httptools refers to this one, so that without this the bytes would
+        stay in memory until the next garbage collection.
+        """
+        self._events.clear()
+        self._parser = None
+
     def feed(self, data):
         """Parse received bytes; empty bytes mean that the connection was closed."""
         if not data:
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
@@ -263,8 +263,12 @@
         )
 
     def close(self):
-        """Abandon the exchange by closing the connection to the upstream."""
+        """Abandon the exchange by closing the connection to the upstream.
+
+        After a complete response, this only releases memory.
+        """
         self._holding.close()
+        self._parser.close()
         if self._sock is not None:
             self._sock.close()
             self._sock = None
