--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/bounded_pools.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/bounded_pools.py
@@ -12,6 +12,8 @@
 from urllib3.connectionpool import HTTPConnectionPool
 from valeweir.timers import get_lease_time
 
+from .sockets import is_broken
+
 # Views and lists of caches of a large fleet take some megabytes.
 MAX_PEER_RESPONSE_BYTES = 16 << 20
 # Added to the read timeout, within which a response begins, for the rest of it.
@@ -25,10 +27,11 @@
 
 
 class _BoundedSocket(socket.socket):
-    """A socket that limits what is received of one response."""
+    """Limits what is received of a response, and remembers a reset while sending."""
 
     left_bytes = 0
     _deadline = 0.0
+    _send_error = None
 
     def start_response(self, max_bytes, timeout):
         """Allow ``max_bytes`` to be received within ``timeout`` seconds."""
@@ -39,11 +42,22 @@
         if get_lease_time() >= self._deadline:
             raise TimeoutError("the response takes too long")
         count = super().recv_into(buffer, nbytes, flags)
+        if not count and self._send_error is not None:
+            raise ConnectionResetError(self._send_error)
         self.left_bytes -= count
         if self.left_bytes < 0:
             raise ResponseTooLarge("the response is too large")
         return count
 
+    def sendall(self, data, flags=0):
+        try:
+            super().sendall(data, flags)
+        except OSError as exc:
+            # urllib3 reads the response after a reset, which the kernel reports once.
+            if is_broken(exc):
+                self._send_error = str(exc)
+            raise
+
 
 class _BoundedResponse(http.client.HTTPResponse):
     """Refuses lengths beyond the bound, as memory is allocated for them at once."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/sockets.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/sockets.py
@@ -60,6 +60,15 @@
     return unacked == 0 and unsent_bytes > 0
 
 
+def is_broken(exc):
+    """Return whether the error of a send says that the connection was broken.
+
+    A peer that had ended its side first, and so has sent all it had to, resets the
+    connection as well when it gets more; the kernel then reports a broken pipe.
+    """
+    return not isinstance(exc, BrokenPipeError)
+
+
 def is_readable(sock):
     """Return whether a read would return data or the end of the stream at once."""
     try:
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/exchanges.py
@@ -16,7 +16,7 @@
 from ..transport.read_turns import ReadTurns
 from ..transport.responses import Bound, End, Head, ResponseParser
 from ..transport.socket_waits import WaitResult, wait_for_future, wait_for_socket
-from ..transport.sockets import is_readable
+from ..transport.sockets import is_broken, is_readable
 
 # Sent by a different upstream that now listens at the address.
 MISDIRECTED_STATUS = 421
@@ -154,6 +154,9 @@
         self._holding = self._limits.bodies.open()
         self._parser = ResponseParser()
         self._reusable = True
+        # The error of a send that broke the connection. The kernel reports it once, and
+        # then the end of the connection to those who receive.
+        self._send_error = None
         self._call = None
         # Bytes received since the exchange last waited or let other tasks run.
         self._turn_bytes = 0
@@ -307,6 +310,12 @@
                 return self._fail(
                     Fault.AMBIGUOUS, f"receiving failed: {exc}", broke_off=True
                 )
+            if not data and self._send_error is not None:
+                return self._fail(
+                    Fault.AMBIGUOUS,
+                    f"the connection broke while sending: {self._send_error}",
+                    broke_off=True,
+                )
             self.has_received_bytes = True
             self._turn_bytes += len(data)
             self._parser.feed(data)
@@ -401,6 +410,8 @@
             except OSError as exc:
                 # A response may have been received before the reset; it is read next.
                 self._reusable = False
+                if is_broken(exc):
+                    self._send_error = str(exc)
                 return self._check_send_error(exc), False
             failure = await self._wait(None, writing=True)
             if failure is not None:
--- a/packages/valeweir_gateway/tests/test_exchanges.py
+++ b/packages/valeweir_gateway/tests/test_exchanges.py
@@ -63,16 +63,19 @@
             for part in self.parts:
                 conn.sendall(part)
                 time.sleep(self.pause)
-            if self.end == RESET:
-                linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
-                conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            elif self.end == "hold":
-                conn.settimeout(3.0)
-                try:
-                    if conn.recv(1) == b"":
-                        self.closed_by_peer.set()
-                except OSError:
+            self.end_connection(conn)
+
+    def end_connection(self, conn):
+        if self.end == RESET:
+            linger = b"\x01\x00\x00\x00\x00\x00\x00\x00"
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        elif self.end == "hold":
+            conn.settimeout(3.0)
+            try:
+                if conn.recv(1) == b"":
                     self.closed_by_peer.set()
+            except OSError:
+                self.closed_by_peer.set()
 
     def stop(self):
         self.sock.close()
