--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/upstream_exits.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/upstream_exits.py
@@ -1,22 +1,43 @@
-"""Detects whether an upstream that broke off a request has exited.
+"""Detects whether an upstream that ended a response early has exited.
 
-A connection that breaks off is not sufficient evidence: running upstreams also truncate
-responses, and reset or lose connections. If a new connection is refused at the same
-time, no process listens at the address any more, so the upstream has exited.
+A connection that ends is not sufficient evidence: running upstreams also truncate
+responses, and reset or lose connections. If a new connection is refused, no process
+listens at the address any more, so the upstream has exited. One that is accepted proves
+little at first: the kernel closes the sockets of a killed process one after the other,
+the listening one perhaps last, and resets what it has accepted until then.
 """
 
 import asyncio
 import errno
+from enum import Enum
+from typing import NamedTuple
 
 from .connections import connect
 
 # A probe that times out, as when its packets are lost, proves nothing.
 _PROBE_TIMEOUT_S = 0.2
+# Time in which the kernel closes all sockets of a killed process.
+_CLOSING_S = 0.05
 # For this long an exit is assumed to last without another probe; it is shorter than the
 # restart of an upstream takes.
 _EXIT_VALID_S = 1.0
 
 
+class _Outcome(Enum):
+    """What a probe has shown."""
+
+    REFUSED = 1
+    ACCEPTED = 2
+    UNKNOWN = 3
+
+
+class _Probe(NamedTuple):
+    """A connection attempt; its task returns the `_Outcome`."""
+
+    started_at: float
+    task: asyncio.Future
+
+
 class _ProbeClient:
     """The client of a probe, which never disconnects."""
 
@@ -42,6 +63,7 @@
         self._keep = keep
         self._connect = connect
         self._exited_at = {}
+        # The last probe of each instance.
         self._probes = {}
 
     async def has_exited(self, instance, sent):
@@ -49,36 +71,54 @@
 
         An instance that exited before that time cannot have run the request.
         """
-        exited_at = self._exited_at.get(instance.id)
-        if exited_at is not None and self._clock() - exited_at < _EXIT_VALID_S:
+        ended = self._clock()
+        exited_at = self._get_exit(instance.id)
+        if exited_at is not None:
             return sent < exited_at
-        probe = self._probes.get(instance.id)
-        if probe is None:
-            probe = self._probes[instance.id] = asyncio.ensure_future(
-                self._probe(instance)
-            )
-        return await asyncio.shield(probe)
+        # The first probe finds most exits, the other one those that it was too early
+        # for.
+        for earliest in (ended - _CLOSING_S, ended + _CLOSING_S):
+            await self._sleep_until(earliest)
+            if await self._probe(instance, earliest) is _Outcome.REFUSED:
+                return True
+        return False
+
+    def _get_exit(self, instance_id):
+        exited_at = self._exited_at.get(instance_id)
+        if exited_at is None or self._clock() - exited_at >= _EXIT_VALID_S:
+            return None
+        return exited_at
+
+    async def _sleep_until(self, time):
+        await asyncio.sleep(max(0.0, time - self._clock()))
 
-    async def _probe(self, instance):
+    async def _probe(self, instance, earliest):
+        """Return the `_Outcome` of a probe that started at ``earliest`` or later."""
+        probe = self._probes.get(instance.id)
+        if probe is None or probe.started_at < earliest:
+            now = self._clock()
+            self._drop_expired(now)
+            task = asyncio.ensure_future(self._connect_once(instance))
+            probe = self._probes[instance.id] = _Probe(now, task)
+        return await asyncio.shield(probe.task)
+
+    async def _connect_once(self, instance):
         try:
             sock = await self._connect(
                 instance.address, _ProbeClient(), _PROBE_TIMEOUT_S
             )
         except OSError as exc:
-            is_refused = exc.errno == errno.ECONNREFUSED
-            if is_refused:
-                self._record_exit(instance.id)
-            return is_refused
-        finally:
-            del self._probes[instance.id]
+            if exc.errno != errno.ECONNREFUSED:
+                return _Outcome.UNKNOWN
+            self._exited_at[instance.id] = self._clock()
+            return _Outcome.REFUSED
         self._keep(instance.id, sock)
-        return False
-
-    def _record_exit(self, instance_id):
-        now = self._clock()
-        expired = [
-            key for key, at in self._exited_at.items() if now - at >= _EXIT_VALID_S
-        ]
-        for key in expired:
-            del self._exited_at[key]
-        self._exited_at[instance_id] = now
+        return _Outcome.ACCEPTED
+
+    def _drop_expired(self, now):
+        """Forget exits and probes that are not needed any more."""
+        limit = now - _EXIT_VALID_S
+        self._exited_at = {k: at for k, at in self._exited_at.items() if at > limit}
+        self._probes = {
+            k: row for k, row in self._probes.items() if row.started_at > limit
+        }
