--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -95,6 +95,7 @@
             on_request_answered(state, ctx)
         _record_answer(state, ctx, instance, work)
     elif failure.broke_off:
+        state.upstream_exits.record_end(instance.id, work)
         # Before the next send, as this request may have crashed the upstream.
         await on_connection_broken(state, ctx, instance, work.sent, work.is_proved)
     return failure
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/response_ends.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/response_ends.py
@@ -20,11 +20,14 @@
         # The framing may have ended well and the connection been kept.
         state.connections.drop(instance.id)
         return _fail("the stream ended inside an event")
-    if is_end_confirmed(ctx) or _may_have_ended_as_planned(state, instance):
+    if is_end_confirmed(ctx):
         return None
-    if await state.upstream_exits.has_exited(instance, work.sent):
-        return _fail("the upstream exited at the end of a response without a length")
-    return None
+    state.upstream_exits.record_end(instance.id, work)
+    if not await state.upstream_exits.has_exited(instance, work.sent):
+        return None
+    if await _may_be_complete(state, ctx, instance, work):
+        return None
+    return _fail("the upstream exited at the end of a response without a length")
 
 
 def is_end_confirmed(ctx):
@@ -37,6 +40,17 @@
     return is_end_confirmed(ctx) or state.directory.is_ready(instance.id)
 
 
+async def _may_be_complete(state, ctx, instance, work):
+    """Return whether an upstream may have exited after the last byte of a response.
+
+    An exit as planned waits for responses and so follows the last of them only. A
+    resumable stream is resumed all the same, which adds nothing if it is complete.
+    """
+    if ctx.route.resumable or not _may_have_ended_as_planned(state, instance):
+        return False
+    return not await state.upstream_exits.ended_with_others(instance.id, work)
+
+
 def _may_have_ended_as_planned(state, instance):
     """Return whether the exit of an upstream may be a planned one.
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/upstream_exits.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/upstream_exits.py
@@ -65,6 +65,29 @@
         self._exited_at = {}
         # The last probe of each instance.
         self._probes = {}
+        # {instance id: {response: when its connection ended}}, the recent ones.
+        self._ends = {}
+
+    def record_end(self, instance_id, response):
+        """Record that the connection of a response has ended just now, or earlier."""
+        now = self._clock()
+        self._drop_expired(now)
+        self._ends.setdefault(instance_id, {}).setdefault(response, now)
+
+    async def ended_with_others(self, instance_id, response):
+        """Return whether connections of other responses ended at the same time.
+
+        A process that exits ends all of them, one that has finished a response ends
+        only that one.
+        """
+        ended = self._ends.get(instance_id, {}).get(response)
+        if ended is None:
+            return False
+        await self._sleep_until(ended + _CLOSING_S)
+        return any(
+            other is not response and abs(at - ended) <= _CLOSING_S
+            for other, at in self._ends.get(instance_id, {}).items()
+        )
 
     async def has_exited(self, instance, sent):
         """Return whether the instance has exited after the time a request was ``sent``.
@@ -116,9 +139,15 @@
         return _Outcome.ACCEPTED
 
     def _drop_expired(self, now):
-        """Forget exits and probes that are not needed any more."""
+        """Forget exits, probes and ends that are not needed any more."""
         limit = now - _EXIT_VALID_S
         self._exited_at = {k: at for k, at in self._exited_at.items() if at > limit}
         self._probes = {
             k: row for k, row in self._probes.items() if row.started_at > limit
         }
+        for instance_id, ends in list(self._ends.items()):
+            recent = {response: at for response, at in ends.items() if at > limit}
+            if recent:
+                self._ends[instance_id] = recent
+            else:
+                del self._ends[instance_id]
--- a/packages/valeweir_gateway/tests/test_upstream_exits.py
+++ b/packages/valeweir_gateway/tests/test_upstream_exits.py
@@ -91,5 +91,21 @@
         self.assertFalse(await self.has_exited(sent=time.monotonic()))
 
 
+class TestEndsOfResponses(ExitCase):
+    """Connections that end together tell a crash from the end of a response."""
+
+    async def test_together(self):
+        self.exits.record_end("i-1", "first")
+        self.exits.record_end("i-2", "elsewhere")
+        self.assertFalse(await self.exits.ended_with_others("i-1", "first"))
+        self.exits.record_end("i-1", "second")
+        # Recorded once more as the request fails.
+        self.exits.record_end("i-1", "second")
+        self.assertFalse(await self.exits.ended_with_others("i-1", "second"))
+        self.exits.record_end("i-1", "third")
+        self.exits.record_end("i-1", "fourth")
+        self.assertTrue(await self.exits.ended_with_others("i-1", "third"))
+
+
 if __name__ == "__main__":
     unittest.main()
