--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -32,6 +32,8 @@
 from .stream_resumption import record_stream_begin
 
 _MAX_UNREPEATABLE_IDLE_S = 1.0
+# Time for which a client may pause reading a response that is ready at its deadline.
+_MIN_READ_TIME_S = 1.5
 # Statuses that imply that the request was not run; trusted only with a signature.
 _SIGNED_STATUSES = frozenset((408, 421, 429, 503))
 _MIN_SERVER_ERROR_STATUS = 500
@@ -217,7 +219,7 @@
     is_retry_useful = _is_retry_useful(state, ctx, choice.instance)
     if head.status >= _MIN_SERVER_ERROR_STATUS and is_retry_useful:
         return Failure(Fault.AMBIGUOUS, "server error", head.status)
-    return await _send_response(ctx, head, body)
+    return await _send_response(ctx, head, body, state.clock())
 
 
 def _observe_response(state, choice, work):
@@ -273,10 +275,12 @@
     )
 
 
-async def _send_response(ctx, head, body):
+async def _send_response(ctx, head, body, now):
     """Send a complete response; return None or a `Failure`."""
     ctx.response_status = head.status
     headers = head.headers.items()
+    # A response that is ready late is delivered all the same.
+    ctx.reply.allow_pauses(ctx.id, max(ctx.deadline, now + _MIN_READ_TIME_S))
     if body.size <= SMALL_BODY_BYTES:
         ctx.reply.send(head.status, headers, body.join(), head.framing)
         return None
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -33,8 +33,8 @@
 _CONTINUE_RESPONSE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class Stream(NamedTuple):
-    """The stream that a connection sends; ``deadline`` is on the loop's clock."""
+class Response(NamedTuple):
+    """The response that a connection sends; ``deadline`` is on the loop's clock."""
 
     request_id: str
     deadline: float
@@ -60,7 +60,7 @@
         self._request_waiter = None
         self._drain_waiter = None
         self._write_paused = False
-        self._stream = None
+        self._response = None
         self._has_reported_bound = False
         self._is_user_timeout_raised = False
         # Unsent bytes as last counted in the server's write buffers.
@@ -132,9 +132,9 @@
         if not self.is_disconnected:
             self._transport.write(data)
 
-    def start_stream(self, request_id, deadline):
-        """Record which stream is sent, and until when its client may take to read."""
-        self._stream = Stream(request_id, deadline)
+    def start_response(self, request_id, deadline):
+        """Record which response is sent, and until when its client may read it."""
+        self._response = Response(request_id, deadline)
         self._has_reported_bound = False
 
     async def wait_for_room(self):
@@ -150,9 +150,9 @@
             bound = find_reached_bound(size, buffers.total, bounds)
             if bound is None:
                 return
-            if self._stream is not None and not self._has_reported_bound:
+            if self._response is not None and not self._has_reported_bound:
                 self._has_reported_bound = True
-                buffers.on_bound_reached(self._stream.request_id, bound, size)
+                buffers.on_bound_reached(self._response.request_id, bound, size)
             await self._wait_for_size(compute_resume_size(size, buffers.total, bounds))
         if self.is_disconnected:
             raise ClientDisconnected
@@ -178,6 +178,11 @@
 
     def close(self):
         """Close the connection after the buffered bytes are sent."""
+        if self._response is not None and not self.is_disconnected:
+            # The kernel sends on what it has, and the client may pause then too.
+            left_s = self._response.deadline - self._server.loop.time()
+            sock = self._transport.get_extra_info("socket")
+            set_user_timeout(sock, max(USER_TIMEOUT_MS, left_s * 1000.0))
         self._transport.close()
 
     def set_reset_on_close(self, is_on):
@@ -215,8 +220,8 @@
 
     async def _serve_request(self, request):
         """Serve one request; return whether the connection stays open."""
-        # The deadline of an earlier stream must not end a later response.
-        self._end_stream()
+        # The deadline of an earlier response must not end a later one.
+        self._end_response()
         reply = Reply(self, request)
         self._is_serving = True
         try:
@@ -235,8 +240,8 @@
 
     def check_timeouts(self, now):
         """Close the connection if it is idle, or reads or sends too slowly."""
-        if self._stream is not None:
-            self._check_stream(now)
+        if self._response is not None:
+            self._check_response(now)
         if self._is_serving or self._requests or self._error_response is not None:
             return
         if self._waits_since is not None:
@@ -263,19 +268,19 @@
             else:
                 self.close()
 
-    def _check_stream(self, now):
-        """Abort an overdue stream; allow its client to pause reading until then.
+    def _check_response(self, now):
+        """Abort an overdue response; allow its client to pause reading until then.
 
         The user timeout of TCP also ends a connection whose peer answers but leaves its
         receive window closed, so it is raised while the window is closed. A client host
-        that fails in this state is detected only at the deadline. A stream that was
+        that fails in this state is detected only at the deadline. A response that was
         written completely is checked on while the kernel holds its end for the client.
         """
-        deadline = self._stream.deadline
+        deadline = self._response.deadline
         if now >= deadline and self._write_paused:
             size = self._transport.get_write_buffer_size()
-            self._server.write_buffers.on_abort(self._stream.request_id, size)
-            self._stream = None
+            self._server.write_buffers.on_abort(self._response.request_id, size)
+            self._response = None
             self._transport.abort()
             return
         sock = self._transport.get_extra_info("socket")
@@ -285,11 +290,11 @@
             timeout_ms = (deadline - now) * 1000.0 if is_closed else 0
             set_user_timeout(sock, max(USER_TIMEOUT_MS, timeout_ms))
         if not (self._is_serving or self._write_paused or is_closed):
-            self._stream = None
+            self._response = None
 
-    def _end_stream(self):
-        """Stop checking the stream and use the usual user timeout again."""
-        self._stream = None
+    def _end_response(self):
+        """Stop checking the response and use the usual user timeout again."""
+        self._response = None
         if self._is_user_timeout_raised:
             self._is_user_timeout_raised = False
             if not self.is_disconnected:
--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/replies.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/replies.py
@@ -53,6 +53,14 @@
         """Call ``callback`` when the client disconnects; None removes the callback."""
         self._conn.on_disconnect = callback
 
+    def allow_pauses(self, request_id, deadline):
+        """Allow the client to pause reading the response until a deadline.
+
+        Without this the connection ends once the client has not read for some time.
+        The parameters are those of `start_stream`.
+        """
+        self._conn.start_response(request_id, deadline)
+
     def send(self, status, headers, body, framing=Framing.LENGTH):
         """Send a complete response; raises `ResponseStarted` if one was started.
 
@@ -103,7 +111,7 @@
             the close of the connection marks its end.
         """
         self._mark_started()
-        self._conn.start_stream(request_id, deadline)
+        self.allow_pauses(request_id, deadline)
         lines = []
         if framing is Framing.CLOSE or not self._can_chunk:
             self._framing = Framing.CLOSE
--- a/packages/valeweir_gateway/tests/test_slow_readers.py
+++ b/packages/valeweir_gateway/tests/test_slow_readers.py
@@ -175,6 +175,14 @@
         time.sleep(2.5)
         self.assert_complete(read_until(sock, b"\r\n0\r\n\r\n"))
 
+    def test_pause_after_the_connection_is_closed_here(self):
+        """The kernel sends on, and ends the connection if its timeout is short."""
+        self.send_buffer_bytes, self.part_count = 200_000, 15
+        sock = self.start_stream(b"closed")
+        self.assertTrue(self.wait_until(lambda: not len(self.server)))
+        time.sleep(2.5)
+        self.assert_complete(read_all(sock))
+
     def test_pause_of_a_stream_without_deadline(self):
         """An infinite deadline must not stop the checks of all connections."""
         self.seconds = math.inf
