--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/links.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/links.py
@@ -130,6 +130,19 @@
             for link in links:
                 link.streams.extend(streams)
 
+    def queue_far_streams(self, streams, own_domain):
+        """Queue streams for one relay of another failure domain.
+
+        It still knows them after the loss of this domain.
+        """
+        if not streams:
+            return
+        with self._lock:
+            far = [row for row in self._by_host.values() if _is_far(row, own_domain)]
+            if far:
+                # The same one for all, so that datagrams are filled.
+                min(far, key=lambda row: row.member.host).streams.extend(streams)
+
     def queue_notices(self, notices):
         """Queue notices of this gateway about requests on all links."""
         with self._lock:
@@ -147,6 +160,10 @@
                     )
 
 
+def _is_far(link, own_domain):
+    return link.role is Role.ACROSS and link.member.domain != own_domain
+
+
 def _is_near_relay(link, own_domain):
     return link.role is Role.UP or (
         link.role is Role.ACROSS and link.member.domain == own_domain
--- a/packages/valeweir_gateway/src/valeweir_gateway/fleet/report_exchange.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/fleet/report_exchange.py
@@ -181,12 +181,25 @@
 
     def _apply_streams(self, report, now):
         state = self._state
-        for key, *digests in report.streams:
-            origin = StreamOrigin(*digests)
+        streams = [(key, StreamOrigin(*digests)) for key, *digests in report.streams]
+        for key, origin in streams:
             state.stream_origins.add(key, origin, now)
             query = self._queries.pop(key, None)
             if query is not None and not query.done():
                 query.set_result(state.stream_origins.get(key))
+        if report.role is Role.UP:
+            self._queue_far_streams(streams)
+
+    def _queue_far_streams(self, streams):
+        """Queue streams of this domain that only records of them can tell apart.
+
+        Those of a service with a single version go on without a record.
+        """
+        state = self._state
+        if not state.members.is_mesh:
+            mixed = state.stream_origins.mixed_services
+            rows = [row for row in streams if row[1].service in mixed]
+            self._links.queue_far_streams(rows, state.cfg.domain)
 
     def _answer_query(self, report, address):
         get = self._state.stream_origins.get
@@ -273,11 +286,9 @@
         fleet_totals = remote.joined(own) if group_reports else own
         self._links.queue_reads(state.reads.take())
         self._links.queue_notices(_drain(state.notices))
-        self._links.queue_streams(
-            _drain(state.stream_origins.unreported),
-            state.cfg.domain,
-            state.members.is_mesh,
-        )
+        streams = _drain(state.stream_origins.unreported)
+        self._links.queue_streams(streams, state.cfg.domain, state.members.is_mesh)
+        self._queue_far_streams(streams)
         for link in self._links:
             self._report_to(link, own, group_totals, fleet_totals, group_reports, now)
         if now - self._hello_sent_at >= _HELLO_INTERVAL_S:
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/stream_origins.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/stream_origins.py
@@ -59,6 +59,8 @@
 
     def __init__(self):
         self._entries = {}
+        # Digests of the services with streams of several versions.
+        self.mixed_services = frozenset()
         # (key, origin) of streams begun here that are not yet queued for peers.
         self.unreported = collections.deque(maxlen=_MAX_UNREPORTED)
 
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/version_store.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/version_store.py
@@ -220,6 +220,11 @@
                 for service, record in records.items()
                 for version in record.serving
             )
+        self._state.stream_origins.mixed_services = frozenset(
+            get_digest(service)
+            for service, record in records.items()
+            if len(record.versions) > 1
+        )
         self._has_failed = False
 
     def _begin_era(self, now):
