--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -129,7 +129,8 @@
 
     def write(self, data):
         """Write or buffer bytes without waiting."""
-        if not self.is_disconnected:
+        # After a failed write, the transport reports the disconnection only later.
+        if not self.is_disconnected and not self._transport.is_closing():
             self._transport.write(data)
 
     def start_response(self, request_id, deadline):
--- a/packages/valeweir_gateway/tests/test_servers.py
+++ b/packages/valeweir_gateway/tests/test_servers.py
@@ -1,5 +1,6 @@
 import asyncio
 import socket
+import struct
 import threading
 import time
 import unittest
@@ -325,6 +326,28 @@
         self.assertGreater(size, 400 * 65_536)
 
 
+class TestWritesAfterADisconnect(ServerCase):
+    """Guards against a warning for each part of a response that nobody receives."""
+
+    async def handle(self, request, reply):
+        reply.start_body(200, [], 1_000)
+        self.is_busy.set()
+        # The event loop does not learn of the reset meanwhile.
+        time.sleep(0.2)
+        for _ in range(1_000):
+            await reply.write(b"x")
+
+    def test_parts_are_dropped(self):
+        self.is_busy = threading.Event()
+        sock = self.connect()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        with self.assertNoLogs("asyncio"):
+            sock.sendall(GET % b"a")
+            self.assertTrue(self.is_busy.wait(3.0))
+            sock.close()
+            self.assertTrue(self.wait_until(lambda: len(self.server) == 0))
+
+
 class TestClose(ServerCase):
     async def handle(self, request, reply):
         await asyncio.sleep(30.0)
