--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/stream_resumption.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/stream_resumption.py
@@ -29,7 +29,7 @@
     origin = await _find_origin(state, ctx, first_id)
     service = None if origin is None else _find_service(ctx.route, origin)
     if service is None or _may_lack_upstreams(state, origin):
-        inputs = state.version_store.describe(ctx.service)
+        inputs = state.version_reader.describe(ctx.service)
         return Refusal(
             503, _UNKNOWN_CODE, retry_after=BUSY_RETRY_AFTER_S, inputs=inputs
         )
@@ -65,7 +65,7 @@
     if len(ctx.route.targets) != 1:
         return None
     service = ctx.route.targets[0].service
-    return await state.version_store.find_only_origin(service, state.clock())
+    return await state.version_reader.find_only_origin(service, state.clock())
 
 
 def _may_lack_upstreams(state, origin):
--- a/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/gateway.py
@@ -32,6 +32,7 @@
 )
 from .transport.sockets import prepare_socket
 from .upstreams import upstream_signals
+from .upstreams.version_reader import VersionReader
 from .upstreams.version_store import VersionStore
 from .view.publisher import Publisher
 from .view.refresher import Refresher
@@ -76,6 +77,9 @@
             state, adapter.store, adapter.quarantine_topic
         )
         state.version_store = VersionStore(state, adapter.store, adapter.version_topic)
+        state.version_reader = VersionReader(
+            state, adapter.store, adapter.version_topic
+        )
         state.on_view_changed = state.version_store.observe
         self._updater = ViewUpdater(state, adapter)
         self._followers = create_followers(
--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -115,8 +115,9 @@
         self.connections = Connections(clock)
         self.upstream_exits = UpstreamExits(clock, self.connections.keep)
         self.stream_origins = StreamOrigins()
-        # Set by `gateway.Gateway`, because it uses the store of the adapter.
+        # Set by `gateway.Gateway`, because they use the store of the adapter.
         self.version_store = None
+        self.version_reader = None
         # Called after each update of the configuration or the instances.
         self.on_view_changed = lambda: None
         # Set by `gateway.Gateway`, because it sends reports to peers.
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/version_store.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/version_store.py
@@ -1,19 +1,17 @@
-"""Keeps the `version_records` of the store up to date and reads them for take-ups.
+"""Keeps the `version_records` of the store up to date.
 
 A version is recorded before this gateway begins streams at it. So a record that is
 complete has the version of every stream, whatever happened to the gateways since.
 """
 
-import asyncio
 import threading
-from typing import NamedTuple
 
 import msgspec
 from valeweir.exceptions import PlatformUnavailable
 
 from ..digests import get_digest
 from ..stores import Conflict
-from .stream_origins import RETENTION_S, StreamOrigin
+from .stream_origins import RETENTION_S
 from .version_records import (
     StoredVersions,
     VersionRecord,
@@ -31,6 +29,7 @@
 # Delay of what no stream waits for.
 _CLEANUP_DELAY_S = (0.5, 2.0)
 _RETRY_S = 0.5
+_CONFLICT_RETRY_S = 0.05
 _IDLE_WAIT_S = 5.0
 # The record of an upstream may be missing for a moment, as after an outage.
 _MIN_ABSENCE_S = 5.0
@@ -41,20 +40,10 @@
 # How long a stream waits for the first record of its service, and its interval.
 _FIRST_RECORD_WAIT_S = 0.3
 _WAIT_STEP_S = 0.01
-# How long a stream that is taken up waits for the store, and the time between calls.
-_READ_TIMEOUT_S = 0.4
-_READ_INTERVAL_S = 0.05
-
-
-class _Reading(NamedTuple):
-    """What the store answered to a call that started at a time; None for no answer."""
-
-    started_at: float
-    stored: StoredVersions | None
 
 
 class VersionStore:
-    """The versions of streams that the store knows; written by a thread of its own.
+    """Writes which versions may begin streams, in a thread of its own.
 
     Parameters
     ----------
@@ -71,8 +60,8 @@
         # Pairs of service and version at which this gateway may begin streams.
         self._recorded = frozenset()
         self._stored = StoredVersions({}, {}, 0, 0)
-        # Since when records of the current era are complete as far as this gateway can
-        # tell, None while that is the case from the begin.
+        # When the records of an earlier era, with what this gateway knows, have all
+        # versions again; None before the first answer of the store.
         self._complete_at = None
         self._last_seen = {}
         # {service: (offset, time)}: since when a record with left versions is known.
@@ -80,8 +69,6 @@
         self._due = None
         self._has_failed = False
         self._changed = threading.Condition()
-        self._reading = _Reading(-1.0, None)
-        self._call = None
         self._catalog = None
         self._services = frozenset()
 
@@ -173,7 +160,7 @@
             self.sync()
         except Conflict:
             # Another gateway has written a record at the same time.
-            self._schedule(self._state.clock() + _READ_INTERVAL_S)
+            self._schedule(self._state.clock() + _CONFLICT_RETRY_S)
         except (PlatformUnavailable, ValueError) as exc:
             if not self._has_failed:
                 self._state.log.note(
@@ -315,62 +302,3 @@
             left=record.left,
             era=record.era,
         )
-
-    async def find_only_origin(self, service, since):
-        """Return the `StreamOrigin` of all streams that a service may have begun.
-
-        Parameters
-        ----------
-        since : float
-            Only an answer to a call of the store that starts later is used.
-
-        Returns
-        -------
-        StreamOrigin or None
-            None if there are several versions, or the store does not tell in time.
-        """
-        until = since + _READ_TIMEOUT_S
-        while self._reading.started_at < since:
-            left_s = until - self._state.clock()
-            if left_s <= 0.0:
-                return None
-            if self._call is None:
-                self._call = asyncio.ensure_future(self._read())
-            await asyncio.wait([self._call], timeout=left_s)
-        stored = self._reading.stored
-        version = None if stored is None else stored.find_only_version(service)
-        if version is None:
-            return None
-        return StreamOrigin(get_digest(service), get_digest(version))
-
-    def describe(self, service):
-        """Return log fields on the last answer of the store about a service."""
-        stored = self._reading.stored
-        record = None if stored is None else stored.records.get(service)
-        if record is None:
-            return {"recorded_versions": None}
-        return {
-            "recorded_versions": sorted(record.versions),
-            "record_era": record.era,
-            "store_era": stored.era,
-        }
-
-    async def _read(self):
-        try:
-            wait = self._reading.started_at + _READ_INTERVAL_S - self._state.clock()
-            if wait > 0.0:
-                await self._state.sleep(wait)
-            started_at = self._state.clock()
-            loop = asyncio.get_running_loop()
-            stored = await loop.run_in_executor(None, self._list_stored)
-            self._reading = _Reading(started_at, stored)
-        finally:
-            self._call = None
-
-    def _list_stored(self):
-        """Return the `StoredVersions`, None if the store does not tell."""
-        try:
-            return decode_listing(self._store.list_newest(self._topic))
-        except (PlatformUnavailable, ValueError) as exc:
-            self._state.log.note("stream versions unknown", failed=True, why=str(exc))
-            return None
