--- a/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/forwarding/attempts.py
@@ -212,21 +212,22 @@
     body = await exchange.read_body()
     if isinstance(body, Failure):
         return body
+    # The check may wait, which is no time of the upstream.
+    ended = state.clock()
     failure = await check_end(state, ctx, choice.instance, work)
     if failure is not None:
         return failure
-    _observe_response(state, choice, work)
+    _observe_response(state, choice, work, ended)
     is_retry_useful = _is_retry_useful(state, ctx, choice.instance)
     if head.status >= _MIN_SERVER_ERROR_STATUS and is_retry_useful:
         return Failure(Fault.AMBIGUOUS, "server error", head.status)
     return await _send_response(ctx, head, body, state.clock())
 
 
-def _observe_response(state, choice, work):
-    now = state.clock()
-    state.loads.record_progress(work, now)
+def _observe_response(state, choice, work, ended):
+    state.loads.record_progress(work, ended)
     if work.tokens == 0:
-        state.loads.record_call_time(work, choice.instance.slots, now - work.sent)
+        state.loads.record_call_time(work, choice.instance.slots, ended - work.sent)
 
 
 async def _read_rejection(exchange, head):
