--- a/packages/valeweir_gateway/src/valeweir_gateway/states.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/states.py
@@ -39,6 +39,7 @@
 from .upstreams.exchanges import create_read_limits
 from .upstreams.stream_origins import StreamOrigins
 from .upstreams.upstream_exits import UpstreamExits
+from .upstreams.upstream_probes import create_probe
 from .view.directory import Directory
 from .view.evacuations import Evacuations
 from .view.lapsed_records import LapsedRecords
@@ -113,7 +114,10 @@
         self.shares = Shares(self.usage, cfg.sharing)
         self.backoffs = Backoffs()
         self.connections = Connections(clock)
-        self.upstream_exits = UpstreamExits(clock, self.connections.keep)
+        self.upstream_exits = UpstreamExits(
+            clock,
+            create_probe(names, self.connections.keep, self._get_health_path, clock),
+        )
         self.stream_origins = StreamOrigins()
         # Set by `gateway.Gateway`, because they use the store of the adapter.
         self.version_store = None
@@ -185,6 +189,10 @@
         occupancy = get_occupancy_level(self._inflight, max_inflight)
         return max(self.pressure.level, occupancy)
 
+    def _get_health_path(self, service):
+        known = self.catalog.services.get(service) if self.catalog else None
+        return known.health_path if known else "/"
+
     def is_ready(self):
         """Return whether the balancer should send clients to this gateway."""
         if not self.is_view_complete or self.stopping:
--- a/packages/valeweir_gateway/src/valeweir_gateway/upstreams/upstream_exits.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/upstreams/upstream_exits.py
@@ -1,67 +1,40 @@
 """Detects whether an upstream that ended a response early has exited.
 
 A connection that ends is not sufficient evidence: running upstreams also truncate
-responses, and reset or lose connections. If a new connection is refused, no process
-listens at the address any more, so the upstream has exited. One that is accepted proves
-little at first: the kernel closes the sockets of a killed process one after the other,
-the listening one perhaps last, and resets what it has accepted until then.
+responses, and reset or lose connections.
 """
 
 import asyncio
-import errno
-from enum import Enum
 from typing import NamedTuple
 
-from .connections import connect
+from .upstream_probes import ProbeResult
 
-# A probe that times out, as when its packets are lost, proves nothing.
-_PROBE_TIMEOUT_S = 0.2
-# Time in which the kernel closes all sockets of a killed process.
-_CLOSING_S = 0.05
 # For this long an exit is assumed to last without another probe; it is shorter than the
 # restart of an upstream takes.
 _EXIT_VALID_S = 1.0
-
-
-class _Outcome(Enum):
-    """What a probe has shown."""
-
-    REFUSED = 1
-    ACCEPTED = 2
-    UNKNOWN = 3
+# Time in which the connections of a killed process end.
+_CLOSING_S = 0.05
 
 
 class _Probe(NamedTuple):
-    """A connection attempt; its task returns the `_Outcome`."""
+    """A probe under way; its task returns the `ProbeResult`."""
 
     started_at: float
     task: asyncio.Future
 
 
-class _ProbeClient:
-    """The client of a probe, which never disconnects."""
-
-    is_disconnected = False
-
-    def watch(self, callback):
-        """Ignore the callback, as this client never disconnects."""
-
-
 class UpstreamExits:
     """Exits of upstreams detected by this gateway; used on the event loop only.
 
     Parameters
     ----------
-    keep : callable
-        Called with the id of an instance that still listens and a new connection to it.
-    connect : callable
-        Has the signature of `connections.connect`.
+    probe : callable
+        Coroutine function that takes an instance and returns a `ProbeResult`.
     """
 
-    def __init__(self, clock, keep, connect=connect):
+    def __init__(self, clock, probe):
         self._clock = clock
-        self._keep = keep
-        self._connect = connect
+        self._probe = probe
         self._exited_at = {}
         # The last probe of each instance.
         self._probes = {}
@@ -83,7 +56,7 @@
         ended = self._ends.get(instance_id, {}).get(response)
         if ended is None:
             return False
-        await self._sleep_until(ended + _CLOSING_S)
+        await asyncio.sleep(max(0.0, ended + _CLOSING_S - self._clock()))
         return any(
             other is not response and abs(at - ended) <= _CLOSING_S
             for other, at in self._ends.get(instance_id, {}).items()
@@ -92,19 +65,20 @@
     async def has_exited(self, instance, sent):
         """Return whether the instance has exited after the time a request was ``sent``.
 
-        An instance that exited before that time cannot have run the request.
+        An instance that exited before that time cannot have run the request. One that
+        answers to a probe that starts now has not exited.
         """
         ended = self._clock()
         exited_at = self._get_exit(instance.id)
         if exited_at is not None:
             return sent < exited_at
-        # The first probe finds most exits, the other one those that it was too early
-        # for.
-        for earliest in (ended - _CLOSING_S, ended + _CLOSING_S):
-            await self._sleep_until(earliest)
-            if await self._probe(instance, earliest) is _Outcome.REFUSED:
+        probe = self._probes.get(instance.id)
+        if probe is not None and probe.started_at < ended:
+            # It may have been answered before the end of this response.
+            if await asyncio.shield(probe.task) is ProbeResult.EXITED:
                 return True
-        return False
+        result = await asyncio.shield(self._start_probe(instance, ended))
+        return result is ProbeResult.EXITED
 
     def _get_exit(self, instance_id):
         exited_at = self._exited_at.get(instance_id)
@@ -112,31 +86,19 @@
             return None
         return exited_at
 
-    async def _sleep_until(self, time):
-        await asyncio.sleep(max(0.0, time - self._clock()))
-
-    async def _probe(self, instance, earliest):
-        """Return the `_Outcome` of a probe that started at ``earliest`` or later."""
+    def _start_probe(self, instance, earliest):
+        """Return the task of a probe that started at ``earliest`` or later."""
         probe = self._probes.get(instance.id)
         if probe is None or probe.started_at < earliest:
-            now = self._clock()
-            self._drop_expired(now)
-            task = asyncio.ensure_future(self._connect_once(instance))
-            probe = self._probes[instance.id] = _Probe(now, task)
-        return await asyncio.shield(probe.task)
-
-    async def _connect_once(self, instance):
-        try:
-            sock = await self._connect(
-                instance.address, _ProbeClient(), _PROBE_TIMEOUT_S
-            )
-        except OSError as exc:
-            if exc.errno != errno.ECONNREFUSED:
-                return _Outcome.UNKNOWN
+            task = asyncio.ensure_future(self._run_probe(instance))
+            probe = self._probes[instance.id] = _Probe(self._clock(), task)
+        return probe.task
+
+    async def _run_probe(self, instance):
+        result = await self._probe(instance)
+        if result is ProbeResult.EXITED:
             self._exited_at[instance.id] = self._clock()
-            return _Outcome.REFUSED
-        self._keep(instance.id, sock)
-        return _Outcome.ACCEPTED
+        return result
 
     def _drop_expired(self, now):
         """Forget exits, probes and ends that are not needed any more."""
--- a/packages/valeweir_gateway/src/valeweir_gateway/view/catalog.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/view/catalog.py
@@ -65,7 +65,8 @@
     """A service: a set of equivalent upstreams.
 
     Each upstream warms up for ``warm_time`` seconds after it enters service. During
-    that time it accepts ``warm_rate`` requests per second, 0 for no limit.
+    that time it accepts ``warm_rate`` requests per second, 0 for no limit. A GET on
+    ``health_path`` is a health check.
     """
 
     name: str
@@ -73,6 +74,7 @@
     engine: Engine | None
     warm_time: float = 0.0
     warm_rate: float = 0.0
+    health_path: str = "/"
 
 
 class Account(NamedTuple):
