--- a/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
+++ b/packages/valeweir_gateway/src/valeweir_gateway/transport/client_connections.py
@@ -119,7 +119,9 @@
 
     @property
     def is_idle(self):
-        """Return whether no request is being received, queued or served."""
+        """Return whether no request is being received, queued, served or rejected."""
+        if self._error_response is not None:
+            return False
         return not (self._is_serving or self._requests or self._parser.is_reading)
 
     @property
--- a/packages/valeweir_gateway/tests/test_servers.py
+++ b/packages/valeweir_gateway/tests/test_servers.py
@@ -209,6 +209,18 @@
         self.assertTrue(read_all(sock).startswith(b"HTTP/1.1 413 "))
         self.assertEqual(self.server.request_memory.total, 0)
 
+    def test_rejected_request_is_not_idle(self):
+        """Closing it at once would reset the connection and lose the response."""
+        sock = self.connect()
+        sock.sendall(b"POST /a HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\nx")
+        self.assertTrue(self.wait_until(lambda: self.refusal_codes))
+        self.loop.call_soon_threadsafe(self.server.close_idle)
+        time.sleep(0.1)
+        for _ in range(3):
+            sock.sendall(b"x" * 10_000)
+            time.sleep(0.02)
+        self.assertTrue(read_all(sock).startswith(b"HTTP/1.1 413 "))
+
 
 class TestStreams(ServerCase):
     async def handle(self, request, reply):
